core: decisions of leases, cells, queues and placement; net and platform clients

Cause: the project begins; the thin path needs its libraries first. Not yet driven by a daemon and not yet tested.

--- /dev/null
+++ b/src/cmake/libraries.cmake
@@ -0,0 +1,12 @@
+# The packaged libraries that the project builds on.
+set(Boost_USE_STATIC_LIBS OFF)
+find_package(Threads REQUIRED)
+find_package(Boost 1.74 REQUIRED COMPONENTS program_options log log_setup thread)
+find_package(msgpack REQUIRED)
+find_package(prometheus-cpp REQUIRED)
+find_package(OpenSSL REQUIRED)
+find_package(PkgConfig REQUIRED)
+pkg_check_modules(XXHASH REQUIRED IMPORTED_TARGET libxxhash)
+pkg_check_modules(CPPUNIT REQUIRED IMPORTED_TARGET cppunit)
+find_package(nlohmann_json QUIET)
+add_compile_definitions(BOOST_LOG_DYN_LINK BOOST_ASIO_NO_DEPRECATED)
--- /dev/null
+++ b/src/include/balsampost/telemetry/events.h
@@ -0,0 +1,55 @@
+// The numbered events that the daemon logs. docs/EVENTS.md is their catalogue; a test keeps the two together.
+#pragma once
+
+#include <cstdint>
+#include <span>
+#include <string_view>
+
+namespace balsampost::telemetry {
+
+enum class severity : std::uint8_t { debug, info, warning, error };
+
+enum class event : std::uint16_t {
+    started = 100,
+    stopping = 101,
+    stopped = 102,
+    start_failed = 103,
+    drain_deadline = 104,
+    config_in_force = 200,
+    config_unusable = 201,
+    members_changed = 202,
+    store_unavailable = 210,
+    store_back = 211,
+    authority_taken = 300,
+    authority_lost = 301,
+    standby_changed = 302,
+    takeover_tried = 303,
+    table_in_force = 310,
+    table_held_by_standby = 311,
+    home_began = 320,
+    home_ended = 321,
+    server_lapsed = 322,
+    server_refused_order = 323,
+    slice_draining = 324,
+    peer_refused = 400,
+    peer_broke_protocol = 401,
+    relay_parent = 410,
+    relay_unreachable = 411,
+    caller_broke_protocol = 500,
+    answer_cut_off = 501,
+    duplicate_refused = 502,
+    span = 600,
+};
+
+struct event_rule {
+    event code;
+    severity level;
+    std::string_view name;
+    std::string_view meaning;
+};
+
+/// All events, by number.
+std::span<const event_rule> all_events();
+const event_rule& rule_of(event code);
+
+} // namespace balsampost::telemetry
--- /dev/null
+++ b/src/libbalsampost_core/cell_coordinator.cpp
@@ -0,0 +1,422 @@
+// Decisions of a cell's coordinator.
+#include "balsampost/core/cell_coordinator.h"
+
+#include <algorithm>
+
+namespace balsampost::core {
+
+namespace {
+
+/// Time after `begin` in which servers may report before the first slices are placed without the missing ones.
+constexpr milliseconds settle_time{1500};
+/// Interval between two looks for planned moves.
+constexpr milliseconds plan_interval{1000};
+/// An instance lost as a home within this time is chosen again only if there is no other.
+constexpr milliseconds failed_home_memory{5000};
+/// Weight of the newest report in a slice's smoothed load.
+constexpr double load_smoothing = 0.3;
+
+duration longer_by_drift(duration length, std::uint32_t drift_percent) {
+    return length * (100 + drift_percent) / 100;
+}
+
+} // namespace
+
+cell_coordinator::cell_coordinator(cell_id cell, instance_id self, profile timing, coordinator_rules rules)
+    : m_cell(std::move(cell)), m_self(std::move(self)), m_timing(std::move(timing)), m_rules(rules) {}
+
+const cell_table& cell_coordinator::begin(const cell_table& inherited, std::uint64_t term, time_point now) {
+    m_active = true;
+    m_adopting = true;
+    m_began = now;
+    m_next_plan = now + settle_time;
+    m_homes.clear();
+    m_servers.clear();
+    m_free.clear();
+    m_moving.clear();
+    m_loads.clear();
+    m_table = inherited;
+    m_proposal = inherited;
+    m_proposal->version = {term, 1};
+    m_proposal->holder = m_self;
+    for (const auto& row : inherited.servers) {
+        if (!row.home.empty() && m_rules.wait_predecessor) {
+            // The predecessor's authority has ended; a right it gave may outlast that by the margin.
+            home(row.home).right_until = now + longer_by_drift(m_timing.margin, m_timing.drift_percent);
+        }
+        if (!row.home.empty()) {
+            home(row.home).heard = now;
+        }
+    }
+    return *m_proposal;
+}
+
+void cell_coordinator::end() {
+    m_active = false;
+    m_adopting = false;
+    m_proposal.reset();
+}
+
+cell_coordinator::home_state& cell_coordinator::home(const instance_id& id) {
+    const auto [at, added] = m_homes.try_emplace(id);
+    if (added) {
+        // A home not seen before may hold a table from before this term, so it must catch up first.
+        at->second.required = m_proposal && m_adopting ? m_proposal->version : epoch{m_table.version.term, 1};
+    }
+    return at->second;
+}
+
+void cell_coordinator::take_report(const server_report& report, const home_heartbeat& heartbeat) {
+    const auto* row = m_table.find(report.name);
+    if (row == nullptr || row->home != heartbeat.home || row->home_since != report.home_since) {
+        return; // Speaks of an assignment that is over.
+    }
+    auto& state = m_servers[row->number];
+    state.answering = report.answering;
+    state.answered = state.answered || report.answering;
+    state.load_permille = report.load_permille;
+    state.let_go = report.let_go;
+    for (const auto& slice : report.released) {
+        if (!m_table.holds_slice(slice.slice)) {
+            continue;
+        }
+        const auto& owned = m_table.slice_at(slice.slice);
+        if (owned.owner == row->number && owned.owned_since == slice.since) {
+            m_free[slice.slice] = slice.since;
+        }
+    }
+}
+
+home_reply cell_coordinator::on_heartbeat(const home_heartbeat& heartbeat, time_point authority_until,
+                                          time_point now) {
+    home_reply reply;
+    if (!m_active || m_adopting || now >= authority_until) {
+        return reply;
+    }
+    auto& state = home(heartbeat.home);
+    state.heard = now;
+    state.leaving = heartbeat.leaving;
+    for (const auto& report : heartbeat.servers) {
+        take_report(report, heartbeat);
+    }
+    for (const auto& load : heartbeat.loads) {
+        auto& smoothed = m_loads[load.slice];
+        smoothed += load_smoothing * (load.requests_per_second - smoothed);
+    }
+    reply.authoritative = true;
+    reply.table_version = m_rules.require_table ? state.required : epoch{};
+    const duration longest = authority_until + m_timing.margin - now;
+    const duration length = std::min<duration>(m_timing.right, longest);
+    reply.right_ns = length.count();
+    state.right_until = std::max(state.right_until, now + longer_by_drift(length, m_timing.drift_percent));
+    fill_orders(reply, heartbeat.home);
+    return reply;
+}
+
+void cell_coordinator::fill_orders(home_reply& reply, const instance_id& home_id) const {
+    for (const auto& [slice, target] : m_moving) {
+        const auto& owned = m_table.slice_at(slice);
+        const auto* row = m_table.find(owned.owner);
+        if (row != nullptr && row->home == home_id) {
+            reply.release.push_back({slice, owned.owned_since});
+        }
+    }
+    const auto at = m_homes.find(home_id);
+    if (at != m_homes.end() && at->second.leaving) {
+        for (const auto& row : m_table.servers) {
+            if (row.home == home_id) {
+                reply.give_up.push_back(row.name);
+            }
+        }
+    }
+}
+
+bool cell_coordinator::home_lost(const instance_id& id, time_point now) const {
+    const auto at = m_homes.find(id);
+    if (at == m_homes.end()) {
+        return true;
+    }
+    const bool silent = at->second.heard == never || now - at->second.heard >= m_timing.suspect;
+    const bool lapsed = !m_rules.wait_home_right || now >= at->second.right_until;
+    return silent && lapsed;
+}
+
+bool cell_coordinator::add_servers(cell_table& next, const cell_view& view) {
+    bool changed = false;
+    for (const auto& server : view.servers) {
+        if (server.state == member_state::live && next.find(server.name) == nullptr) {
+            next.servers.push_back({next.next_number++, server.name, {}, {}, false});
+            changed = true;
+        }
+    }
+    return changed;
+}
+
+bool cell_coordinator::remove_servers(cell_table& next, const cell_view& view) {
+    const auto removable = [&](const server_row& row) {
+        const bool listed = std::any_of(view.servers.begin(), view.servers.end(),
+                                        [&](const auto& server) { return server.name == row.name; });
+        const bool owns = std::any_of(next.slices.begin(), next.slices.end(),
+                                      [&](const auto& slice) { return slice.owner == row.number; });
+        return !listed && !owns;
+    };
+    return std::erase_if(next.servers, removable) > 0;
+}
+
+const home_candidate* cell_coordinator::best_home(const cell_table& next, const cell_view& view,
+                                                  const server_row& row, time_point now) const {
+    const auto record = std::find_if(view.servers.begin(), view.servers.end(),
+                                     [&](const auto& server) { return server.name == row.name; });
+    const home_candidate* best = nullptr;
+    std::tuple<int, int, std::size_t, std::uint64_t> best_score;
+    for (const auto& candidate : view.homes) {
+        if (candidate.leaving || candidate.id == row.home) {
+            continue;
+        }
+        const auto failed = m_failed_homes.find(candidate.id.name);
+        const bool failed_lately = failed != m_failed_homes.end() && now - failed->second < failed_home_memory;
+        int distance = 2;
+        if (record != view.servers.end() && record->region == candidate.region) {
+            distance = record->failure_domain == candidate.failure_domain ? 0 : 1;
+        }
+        const auto homed = static_cast<std::size_t>(std::count_if(
+            next.servers.begin(), next.servers.end(), [&](const auto& r) { return r.home == candidate.id; }));
+        const std::tuple score{failed_lately ? 1 : 0, distance, homed,
+                               ~rendezvous_rank(row.name, candidate.id.name)};
+        if (best == nullptr || score < best_score) {
+            best = &candidate;
+            best_score = score;
+        }
+    }
+    return best;
+}
+
+bool cell_coordinator::choose_homes(cell_table& next, const cell_view& view, time_point now) {
+    bool changed = false;
+    for (auto& row : next.servers) {
+        const auto server = m_servers.find(row.number);
+        const bool let_go = server != m_servers.end() && server->second.let_go;
+        const bool lost = !row.home.empty() && home_lost(row.home, now);
+        if (!row.home.empty() && !let_go && !lost) {
+            continue;
+        }
+        if (lost) {
+            m_failed_homes[row.home.name] = now;
+        }
+        const auto* chosen = best_home(next, view, row, now);
+        if (chosen == nullptr) {
+            continue;
+        }
+        if (lost) {
+            home(row.home).required = next.version; // Should it return, it must first learn that it was replaced.
+        }
+        const bool renewed_since = server != m_servers.end() && server->second.answered;
+        row.handed_over = let_go || (row.handed_over && !renewed_since);
+        row.home = chosen->id;
+        row.home_since = next.version;
+        auto& state = home(chosen->id);
+        state.heard = std::max(state.heard, now); // It gets the suspect time to report.
+        m_servers.erase(row.number);
+        changed = true;
+    }
+    return changed;
+}
+
+std::vector<placement_server> cell_coordinator::placement_servers(const cell_table& table,
+                                                                  const cell_view& view) const {
+    std::vector<placement_server> servers;
+    for (const auto& row : table.servers) {
+        const auto record = std::find_if(view.servers.begin(), view.servers.end(),
+                                         [&](const auto& s) { return s.name == row.name; });
+        const auto state = m_servers.find(row.number);
+        const bool listed = record != view.servers.end() && record->state == member_state::live;
+        const bool placed = listed && std::find(view.regions.begin(), view.regions.end(), record->region) !=
+                                          view.regions.end();
+        const bool answering = state != m_servers.end() && state->second.answering;
+        servers.push_back({row.number, 1.0, placed && answering, !placed});
+    }
+    return servers;
+}
+
+std::vector<placement_slice> cell_coordinator::placement_slices(const cell_table& table) const {
+    std::vector<placement_slice> slices;
+    slices.reserve(table.slices.size());
+    for (std::uint32_t i = 0; i < table.slices.size(); ++i) {
+        const auto load = m_loads.find(table.first_slice + i);
+        slices.push_back({table.slices[i].owner, load == m_loads.end() ? 0 : load->second});
+    }
+    return slices;
+}
+
+bool cell_coordinator::place_slices(cell_table& next, const cell_view& view, time_point now) {
+    if (!view.divided_by_key) {
+        return false;
+    }
+    const auto servers = placement_servers(next, view);
+    const bool all_answer = std::all_of(servers.begin(), servers.end(), [](const auto& s) { return s.accepts; });
+    if (now < m_began + settle_time && !all_answer && m_free.empty()) {
+        return false;
+    }
+    auto slices = placement_slices(next);
+    for (std::uint32_t i = 0; i < slices.size(); ++i) {
+        const std::uint32_t slice = next.first_slice + i;
+        const auto free = m_free.find(slice);
+        const bool released = free != m_free.end() && free->second == next.slices[i].owned_since;
+        const bool unsafe = !m_rules.wait_release && m_moving.count(slice) != 0;
+        if (released || unsafe) {
+            slices[i].owner = no_server;
+        }
+    }
+    bool changed = false;
+    const auto assign = [&](std::uint32_t index, server_number to) {
+        next.slices[index] = {to, next.version};
+        slices[index].owner = to;
+        changed = true;
+    };
+    for (const auto& [slice, target] : m_moving) {
+        const auto index = slice - next.first_slice;
+        const auto to = std::find_if(servers.begin(), servers.end(), [&](const auto& s) { return s.number == target; });
+        if (slices[index].owner == no_server && to != servers.end() && to->accepts) {
+            assign(index, target);
+        }
+    }
+    for (const auto& move : assign_free(slices, servers, view.limits)) {
+        assign(move.index, move.to);
+    }
+    return changed;
+}
+
+void cell_coordinator::plan_moves(const cell_view& view, time_point now) {
+    if (!view.divided_by_key || now < m_next_plan || !m_moving.empty()) {
+        return;
+    }
+    m_next_plan = now + plan_interval;
+    auto limits = view.limits;
+    limits.most_moves = std::max(1U, m_timing.churn_per_minute / 60);
+    const auto servers = placement_servers(m_table, view);
+    const bool leaving = std::any_of(view.servers.begin(), view.servers.end(),
+                                     [](const auto& s) { return s.state == member_state::leaving; });
+    if (leaving) {
+        limits.most_moves = static_cast<std::uint32_t>(m_table.slices.size());
+    }
+    for (const auto& move : rebalance(placement_slices(m_table), servers, limits, m_timing)) {
+        m_moving[m_table.first_slice + move.index] = move.to;
+    }
+}
+
+const std::optional<cell_table>& cell_coordinator::propose(const cell_view& view, time_point now) {
+    if (!m_active || m_proposal) {
+        return m_proposal;
+    }
+    plan_moves(view, now);
+    cell_table next = m_table;
+    ++next.version.sequence;
+    next.holder = m_self;
+    bool changed = add_servers(next, view);
+    changed = choose_homes(next, view, now) || changed;
+    changed = place_slices(next, view, now) || changed;
+    changed = remove_servers(next, view) || changed;
+    if (changed) {
+        m_proposal = std::move(next);
+    }
+    return m_proposal;
+}
+
+void cell_coordinator::committed(const epoch& version) {
+    if (!m_active || !m_proposal || m_proposal->version != version) {
+        return;
+    }
+    for (std::uint32_t i = 0; i < m_proposal->slices.size(); ++i) {
+        const auto& row = m_proposal->slices[i];
+        if (row != m_table.slices.at(i)) {
+            const std::uint32_t slice = m_proposal->first_slice + i;
+            m_moves_total += m_table.slices[i].owner != no_server ? 1 : 0;
+            m_free.erase(slice);
+            m_moving.erase(slice);
+        }
+    }
+    for (const auto& row : m_proposal->servers) {
+        const auto* before = m_table.find(row.number);
+        if (before != nullptr && before->home_since != row.home_since) {
+            m_servers.erase(row.number); // What the former home reported meanwhile is over.
+        }
+    }
+    m_table = std::move(*m_proposal);
+    m_proposal.reset();
+    m_adopting = false;
+}
+
+std::string cell_coordinator::request_move(std::uint32_t slice, const std::string& to) {
+    const auto* row = m_table.find(to);
+    if (!m_active) {
+        return "this instance does not coordinate cell " + to_string(m_cell);
+    }
+    if (!m_table.holds_slice(slice)) {
+        return "slice " + std::to_string(slice) + " is not in cell " + to_string(m_cell);
+    }
+    if (row == nullptr) {
+        return "there is no server '" + to + "' in cell " + to_string(m_cell);
+    }
+    if (m_table.slice_at(slice).owner == row->number) {
+        return "slice " + std::to_string(slice) + " is owned by '" + to + "' already";
+    }
+    m_moving[slice] = row->number;
+    return "";
+}
+
+std::vector<pending_change> cell_coordinator::pending(time_point now) const {
+    std::vector<pending_change> list;
+    if (m_proposal) {
+        list.push_back({"table " + to_string(m_proposal->version), "the store, or the standby while it is out"});
+    }
+    for (const auto& [slice, target] : m_moving) {
+        const auto* to = m_table.find(target);
+        list.push_back({"slice " + std::to_string(slice) + " to " + (to != nullptr ? to->name : "?"),
+                        m_free.count(slice) != 0 ? "the next table" : "its release by the present owner"});
+    }
+    for (const auto& row : m_table.servers) {
+        const auto at = m_homes.find(row.home);
+        if (at != m_homes.end() && at->second.heard != never && now - at->second.heard >= m_timing.suspect) {
+            list.push_back({"home of server " + row.name, "the right of " + to_string(row.home) + " to run out"});
+        }
+    }
+    return list;
+}
+
+void cell_coordinator::append_state(std::string& out) const {
+    const auto add_time = [&](time_point t) {
+        out += t == never ? "-," : std::to_string(t.time_since_epoch().count()) + ",";
+    };
+    const auto add_table = [&](const cell_table& t) {
+        out += to_string(t.version) + "{";
+        for (const auto& row : t.servers) {
+            out += row.name + "@" + row.home.name + "." + to_string(row.home_since) + ",";
+        }
+        for (const auto& row : t.slices) {
+            out += std::to_string(row.owner) + "." + to_string(row.owned_since) + ",";
+        }
+        out += "}";
+    };
+    out += m_active ? (m_adopting ? "a" : "A") : "-";
+    add_table(m_table);
+    if (m_proposal) {
+        add_table(*m_proposal);
+    }
+    for (const auto& [id, state] : m_homes) {
+        out += id.name;
+        add_time(state.right_until);
+        add_time(state.heard);
+        out += to_string(state.required);
+    }
+    for (const auto& [number, state] : m_servers) {
+        out += std::to_string(number) + (state.answering ? "y" : "n") + (state.let_go ? "l" : "k");
+    }
+    for (const auto& [slice, since] : m_free) {
+        out += "f" + std::to_string(slice) + to_string(since);
+    }
+    for (const auto& [slice, to] : m_moving) {
+        out += "m" + std::to_string(slice) + "." + std::to_string(to);
+    }
+}
+
+} // namespace balsampost::core
--- /dev/null
+++ b/src/libbalsampost_net/asio.cpp
@@ -0,0 +1,24 @@
+// Small helpers over Boost.Asio.
+#include "balsampost/net/asio.h"
+
+namespace balsampost::net {
+
+awaitable<void> wait_for(core::duration length) {
+    asio::steady_timer timer(co_await asio::this_coro::executor);
+    timer.expires_after(length);
+    error_code ec;
+    co_await timer.async_wait(into(ec));
+}
+
+tcp::acceptor listen_on(asio::io_context& context, const core::endpoint& at) {
+    constexpr int backlog = 1024;
+    tcp::acceptor acceptor(context);
+    const auto where = to_tcp(at);
+    acceptor.open(where.protocol());
+    acceptor.set_option(tcp::acceptor::reuse_address(true));
+    acceptor.bind(where);
+    acceptor.listen(backlog);
+    return acceptor;
+}
+
+} // namespace balsampost::net
--- /dev/null
+++ b/src/libbalsampost_net/http.cpp
@@ -0,0 +1,227 @@
+// Whole-message HTTP over Boost.Beast.
+#include "balsampost/net/http.h"
+
+#include <boost/algorithm/string/case_conv.hpp>
+#include <boost/beast/http.hpp>
+
+#include <charconv>
+
+namespace balsampost::net {
+
+namespace http = beast::http;
+
+namespace {
+
+constexpr unsigned http_1_1 = 11;
+
+template <class Fields>
+std::map<std::string, std::string> headers_of(const Fields& fields) {
+    std::map<std::string, std::string> headers;
+    for (const auto& field : fields) {
+        headers[boost::algorithm::to_lower_copy(std::string(field.name_string()))] = std::string(field.value());
+    }
+    return headers;
+}
+
+http_answer bad_request(const error_code& ec) {
+    http_answer answer;
+    answer.status = ec == http::error::header_limit ? 431U : ec == http::error::body_limit ? 413U : 400U;
+    answer.body = ec.message() + "\n";
+    return answer;
+}
+
+awaitable<void> serve_connection(tcp::socket socket, http_handler handler, http_server_limits limits,
+                                 std::shared_ptr<std::size_t> open) {
+    beast::tcp_stream stream(std::move(socket));
+    beast::flat_buffer buffer;
+    error_code ec;
+    stream.socket().set_option(tcp::no_delay(true), ec);
+    bool keep = true;
+    while (keep) {
+        http::request_parser<http::string_body> parser;
+        parser.header_limit(limits.header_bytes);
+        parser.body_limit(limits.body_bytes);
+        stream.expires_after(limits.read_time);
+        co_await http::async_read(stream, buffer, parser, into(ec));
+        http_answer answer;
+        if (ec) {
+            if (ec == http::error::end_of_stream || ec == beast::error::timeout || !stream.socket().is_open()) {
+                break;
+            }
+            answer = bad_request(ec);
+            keep = false;
+        } else {
+            const auto& message = parser.get();
+            http_request request{std::string(message.method_string()), std::string(message.target()), message.body(),
+                                 headers_of(message)};
+            stream.expires_never();
+            keep = message.keep_alive();
+            answer = co_await handler(request);
+        }
+        if (answer.status == 0) {
+            break;
+        }
+        http::response<http::string_body> response(static_cast<http::status>(answer.status), http_1_1);
+        response.set(http::field::content_type, answer.content_type);
+        for (const auto& [name, value] : answer.headers) {
+            response.set(name, value);
+        }
+        response.body() = std::move(answer.body);
+        response.keep_alive(keep);
+        response.prepare_payload();
+        stream.expires_after(limits.read_time);
+        co_await http::async_write(stream, response, into(ec));
+        keep = keep && !ec;
+    }
+    stream.socket().shutdown(tcp::socket::shutdown_send, ec);
+    --*open;
+}
+
+} // namespace
+
+std::string http_request::path() const { return target.substr(0, target.find('?')); }
+
+std::string http_request::query(const std::string& name) const {
+    const auto mark = target.find('?');
+    std::size_t at = mark == std::string::npos ? target.size() : mark + 1;
+    while (at < target.size()) {
+        const auto end = std::min(target.find('&', at), target.size());
+        const std::string_view pair(target.data() + at, end - at);
+        const auto equals = pair.find('=');
+        if (pair.substr(0, equals) == name) {
+            return equals == std::string_view::npos ? "" : percent_decode(pair.substr(equals + 1));
+        }
+        at = end + 1;
+    }
+    return "";
+}
+
+std::string percent_decode(std::string_view text) {
+    std::string out;
+    for (std::size_t i = 0; i < text.size(); ++i) {
+        unsigned value = 0;
+        const bool escape = text[i] == '%' && i + 2 < text.size() + 0U &&
+                            std::from_chars(text.data() + i + 1, text.data() + i + 3, value, 16).ptr ==
+                                text.data() + i + 3;
+        if (escape) {
+            out += static_cast<char>(value);
+            i += 2;
+        } else {
+            out += text[i];
+        }
+    }
+    return out;
+}
+
+std::string percent_encode(std::string_view text) {
+    constexpr const char* digits = "0123456789ABCDEF";
+    std::string out;
+    for (const unsigned char c : text) {
+        if (std::isalnum(c) != 0 || c == '-' || c == '_' || c == '.' || c == '~') {
+            out += static_cast<char>(c);
+        } else {
+            out += '%';
+            out += digits[c >> 4U];
+            out += digits[c & 15U];
+        }
+    }
+    return out;
+}
+
+struct http_client::connection {
+    explicit connection(beast::tcp_stream s) : stream(std::move(s)) {}
+    beast::tcp_stream stream;
+    beast::flat_buffer buffer;
+};
+
+http_client::http_client(core::endpoint to) : m_to(std::move(to)) {}
+http_client::~http_client() = default;
+http_client::http_client(http_client&&) noexcept = default;
+http_client& http_client::operator=(http_client&&) noexcept = default;
+
+void http_client::close() { m_connection.reset(); }
+
+awaitable<core::result<http_answer>> http_client::request(http_request r, core::time_point deadline,
+                                                          std::function<bool()> before_write) {
+    error_code ec;
+    auto used = std::move(m_connection); // Comes back only after a whole answer.
+    if (!used) {
+        beast::tcp_stream stream(co_await asio::this_coro::executor);
+        stream.expires_at(deadline);
+        co_await stream.async_connect(to_tcp(m_to), into(ec));
+        if (ec) {
+            co_return core::fail(core::error_code::unavailable, core::to_string(m_to) + ": " + ec.message());
+        }
+        used = std::make_unique<connection>(std::move(stream));
+        used->stream.socket().set_option(tcp::no_delay(true), ec);
+    }
+    http::request<http::string_body> message;
+    message.version(http_1_1);
+    message.method_string(r.method);
+    message.target(r.target);
+    message.set(http::field::host, core::to_string(m_to));
+    for (const auto& [name, value] : r.headers) {
+        message.set(name, value);
+    }
+    message.body() = std::move(r.body);
+    message.prepare_payload();
+    if (before_write && !before_write()) {
+        m_connection = std::move(used);
+        co_return core::fail(core::error_code::refused, "the right to send has run out");
+    }
+    used->stream.expires_at(deadline);
+    co_await http::async_write(used->stream, message, into(ec));
+    if (ec) {
+        co_return core::fail(core::error_code::unknown_outcome, core::to_string(m_to) + ": " + ec.message());
+    }
+    http::response_parser<http::string_body> parser;
+    constexpr std::uint64_t body_bound = 64U << 20U;
+    parser.body_limit(body_bound);
+    co_await http::async_read(used->stream, used->buffer, parser, into(ec));
+    if (ec) {
+        co_return core::fail(core::error_code::unknown_outcome, core::to_string(m_to) + ": " + ec.message());
+    }
+    const auto& response = parser.get();
+    http_answer answer{response.result_int(), response.body(), std::string(response[http::field::content_type]),
+                       headers_of(response)};
+    if (response.keep_alive()) {
+        m_connection = std::move(used);
+    }
+    co_return answer;
+}
+
+awaitable<void> serve_http(tcp::acceptor& acceptor, http_handler handler, http_server_limits limits) {
+    const auto executor = co_await asio::this_coro::executor;
+    auto open = std::make_shared<std::size_t>(0);
+    for (;;) {
+        error_code ec;
+        tcp::socket socket(executor);
+        co_await acceptor.async_accept(socket, into(ec));
+        if (!acceptor.is_open()) {
+            co_return;
+        }
+        if (ec) {
+            co_await wait_for(core::milliseconds(10)); // Out of descriptors, most likely.
+            continue;
+        }
+        if (*open >= limits.connections) {
+            continue; // The socket closes; the bound protects memory.
+        }
+        ++*open;
+        spawn(executor, serve_connection(std::move(socket), handler, limits, open));
+    }
+}
+
+core::result<http_answer> request_once(const core::endpoint& to, http_request r, core::milliseconds within) {
+    asio::io_context context(1);
+    core::result<http_answer> outcome = core::fail(core::error_code::unavailable, "not sent");
+    http_client client(to);
+    const auto work = [&]() -> awaitable<void> {
+        outcome = co_await client.request(std::move(r), now() + within);
+    };
+    spawn(context, work());
+    context.run();
+    return outcome;
+}
+
+} // namespace balsampost::net
