--- /dev/null
+++ b/src/balsampostd/cell_home.cpp
@@ -0,0 +1,199 @@
+// The cell's home part: heartbeats to the coordinator and lease orders to the servers.
+#include "cell_runner.h"
+
+#include "balsampost/net/http.h"
+#include "balsampost/telemetry/log.h"
+
+#include <nlohmann/json.hpp>
+
+namespace balsampost::daemon {
+
+using net::awaitable;
+using net::now;
+using telemetry::event;
+
+namespace {
+
+constexpr core::milliseconds order_tick{5};
+
+nlohmann::json to_json(const core::lease_order& order, const std::string& giver) {
+    nlohmann::json json;
+    json["giver"] = giver;
+    json["number"] = order.number;
+    json["term"] = core::to_string(order.home_since);
+    json["until_ns"] = order.until_ns;
+    json["list_version"] = order.list_version;
+    if (order.with_list) {
+        json["slices"] = nlohmann::json::array();
+        for (const auto& slice : order.slices) {
+            json["slices"].push_back({slice.slice, slice.since.term, slice.since.sequence});
+        }
+    }
+    return json;
+}
+
+std::optional<core::lease_answer> answer_from(const net::http_answer& http) {
+    const auto json = nlohmann::json::parse(http.body, nullptr, false);
+    if (http.status != 200 || json.is_discarded() || !json.contains("time_ns")) {
+        return std::nullopt;
+    }
+    core::lease_answer answer;
+    answer.accepted = json.value("accepted", false);
+    answer.server_time_ns = json["time_ns"].get<std::int64_t>();
+    answer.list_version = json.value("list_version", std::uint64_t{0});
+    answer.running = json.value("running", 0U);
+    return answer;
+}
+
+} // namespace
+
+awaitable<bool> cell_runner::beat(core::instance_id to) {
+    const auto& view = m_around.view();
+    const auto at = view.instances.find(to);
+    if (at == view.instances.end()) {
+        co_return false;
+    }
+    auto heartbeat = m_home.heartbeat(now());
+    for (auto& report : heartbeat.servers) {
+        report.load_permille = m_server_loads[report.name];
+    }
+    heartbeat.loads = std::move(m_slice_loads);
+    m_slice_loads.clear();
+    const auto sent = now();
+    core::home_reply reply;
+    if (to == m_around.self) {
+        reply = on_heartbeat(heartbeat);
+    } else {
+        net::frame f{net::frame_type::heartbeat, 0, net::pack_message(heartbeat)};
+        const auto got = co_await m_around.links.call(at->second.peer(), std::move(f), sent + 2 * m_timing.renew);
+        m_around.reached(to.name, got.has_value());
+        if (!got || got->type != net::frame_type::heartbeat_answer) {
+            co_return false;
+        }
+        auto unpacked = net::unpack_message<core::home_reply>(got->payload);
+        if (!unpacked) {
+            co_return false;
+        }
+        reply = std::move(*unpacked);
+    }
+    m_home.on_reply(reply, sent, now());
+    if (!reply.authoritative && !reply.hint.empty() && reply.hint != to) {
+        m_beat_to = reply.hint;
+    }
+    send_homes();
+    co_return reply.authoritative;
+}
+
+awaitable<void> cell_runner::run_heartbeats() {
+    while (!m_retired) {
+        if (!m_home.is_home()) {
+            co_await m_beat_now.wait_until(now() + core::milliseconds(200));
+            continue;
+        }
+        if (m_beat_to.empty()) {
+            m_beat_to = m_home.table().holder;
+        }
+        const auto asked = m_beat_to;
+        const bool authoritative = co_await beat(asked);
+        if (!authoritative && m_beat_to == asked) {
+            // Holder and standby in turn: either may be in authority by now.
+            const auto& table = m_home.table();
+            m_beat_to = asked == table.holder && !table.standby.empty() ? table.standby : table.holder;
+        }
+        const auto pause = authoritative ? m_timing.renew : m_timing.renew / 4;
+        co_await m_beat_now.wait_until(now() + pause);
+    }
+}
+
+void cell_runner::tick_home() {
+    if (m_home.tick(now())) {
+        for (const auto& report : m_home.heartbeat(now()).servers) {
+            if (!report.answering && !report.released.empty()) {
+                telemetry::log(event::server_lapsed, {{"cell", core::to_string(m_id)}, {"server", report.name}});
+            }
+        }
+        m_beat_now.notify_all();
+        send_homes();
+    }
+}
+
+void cell_runner::send_homes() {
+    homes_update update{m_id, m_home.serving()};
+    if (update.servers.empty() && m_sent_serving == m_home.serving_version()) {
+        return;
+    }
+    m_sent_serving = m_home.serving_version();
+    m_around.homes_changed(update);
+}
+
+void cell_runner::start_order_loops() {
+    for (const auto& row : m_home.table().servers) {
+        if (row.home != m_around.self || m_order_loops[row.name] == row.home_since) {
+            continue;
+        }
+        m_order_loops[row.name] = row.home_since;
+        telemetry::log(event::home_began, {{"cell", core::to_string(m_id)}, {"server", row.name}});
+        net::spawn(m_around.context, run_orders(row.name, row.home_since));
+    }
+}
+
+awaitable<void> cell_runner::run_orders(std::string server, core::epoch home_since) {
+    std::optional<net::http_client> client;
+    const std::string giver = core::to_string(m_around.self);
+    while (!m_retired) {
+        const auto* row = m_home.table().find(server);
+        if (row == nullptr || row->home != m_around.self || row->home_since != home_since) {
+            break;
+        }
+        const auto* record = m_around.view().members->find_server(server);
+        if (record != nullptr && (!client || client->to() != record->location())) {
+            client.emplace(record->location());
+        }
+        const auto order = client ? m_home.order_for(server, now()) : std::nullopt;
+        if (!order) {
+            co_await net::wait_for(order_tick);
+            continue;
+        }
+        const auto sent = now();
+        net::http_request request{"POST", "/balsampost/lease", to_json(*order, giver).dump(), {}};
+        request.headers["Content-Type"] = "application/json";
+        // A pause between the decision and the write is noticed here.
+        const auto http = co_await client->request(std::move(request), sent + m_timing.suspect,
+                                                   [this] { return now() < m_home.right_until(); });
+        const auto answer = http ? answer_from(*http) : std::nullopt;
+        if (answer) {
+            if (!answer->accepted) {
+                telemetry::log(event::server_refused_order,
+                               {{"cell", core::to_string(m_id)}, {"server", server}});
+            }
+            const auto serving = m_home.serving_version();
+            m_home.on_answer(server, order->number, *answer, sent, now());
+            if (serving != m_home.serving_version()) {
+                m_beat_now.notify_all(); // A confirmed or released slice is news to the coordinator.
+            }
+            send_homes();
+        } else {
+            m_home.on_no_answer(server, order->number);
+            client->close();
+            co_await net::wait_for(order_tick);
+        }
+    }
+    telemetry::log(event::home_ended, {{"cell", core::to_string(m_id)}, {"server", server}});
+}
+
+void cell_runner::on_drained(const std::string& server, std::uint32_t slice) { m_home.drained(server, slice); }
+
+void cell_runner::on_server_drained(const std::string& server) {
+    m_home.drained_all(server);
+    m_beat_now.notify_all();
+}
+
+void cell_runner::on_load(const load_report& report) {
+    m_server_loads.clear();
+    for (const auto& [server, permille] : report.server_permille) {
+        m_server_loads[server] = permille;
+    }
+    m_slice_loads = report.slices;
+}
+
+} // namespace balsampost::daemon
--- /dev/null
+++ b/src/balsampostd/http_rules.cpp
@@ -0,0 +1,65 @@
+// Hop-by-hop headers and ambiguous requests.
+#include "http_rules.h"
+
+#include <boost/algorithm/string/predicate.hpp>
+#include <boost/beast/http/rfc7230.hpp>
+
+#include <algorithm>
+#include <array>
+
+namespace balsampost::daemon {
+
+namespace http = boost::beast::http;
+
+namespace {
+
+constexpr std::array<std::string_view, 13> connection_headers{
+    "connection", "keep-alive",          "proxy-connection", "proxy-authenticate", "proxy-authorization", "te", "trailer",
+    "upgrade",    "transfer-encoding",   "content-length",   "expect",             "host",                "traceparent"};
+
+constexpr std::string_view own_prefix = "balsampost-";
+
+} // namespace
+
+bool is_hop_by_hop(std::string_view name) {
+    return boost::algorithm::istarts_with(name, own_prefix) ||
+           std::any_of(connection_headers.begin(), connection_headers.end(),
+                       [&](std::string_view h) { return boost::algorithm::iequals(name, h); });
+}
+
+bool named_by_connection(const http::fields& fields, std::string_view name) {
+    for (const auto& token : http::token_list(fields[http::field::connection])) {
+        if (boost::algorithm::iequals(std::string_view(token.data(), token.size()), name)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+std::optional<std::string> ambiguity_in(const http::fields& fields, unsigned version, std::string_view target) {
+    constexpr unsigned http_1_1 = 11;
+    const auto lengths = fields.count(http::field::content_length);
+    const auto encodings = fields.count(http::field::transfer_encoding);
+    if (lengths > 0 && encodings > 0) {
+        return "both Content-Length and Transfer-Encoding";
+    }
+    if (lengths > 1 || encodings > 1) {
+        return "a body length is given more than once";
+    }
+    if (encodings == 1 && !boost::algorithm::iequals(fields[http::field::transfer_encoding], "chunked")) {
+        return "unknown Transfer-Encoding";
+    }
+    if (encodings == 1 && version < http_1_1) {
+        return "Transfer-Encoding in HTTP/1.0";
+    }
+    if (version >= http_1_1 && fields.count(http::field::host) != 1) {
+        return "needs exactly one Host";
+    }
+    if (target.empty() || target.front() != '/') {
+        return "the target is not a path";
+    }
+    const bool control = std::any_of(target.begin(), target.end(), [](unsigned char c) { return c <= 0x20 || c == 0x7f; });
+    return control ? std::optional<std::string>("the target holds control characters") : std::nullopt;
+}
+
+} // namespace balsampost::daemon
--- a/src/include/balsampost/core/cell_coordinator.h
+++ b/src/include/balsampost/core/cell_coordinator.h
@@ -103,6 +103,7 @@
 
     home_state& home(const instance_id& id);
     void take_report(const server_report& report, const home_heartbeat& heartbeat);
+    void take_loads(const home_heartbeat& heartbeat);
     void fill_orders(home_reply& reply, const instance_id& home) const;
     bool home_lost(const instance_id& id, time_point now) const;
     bool add_servers(cell_table& next, const cell_view& view);
--- a/src/include/balsampost/core/server_queue.h
+++ b/src/include/balsampost/core/server_queue.h
@@ -8,7 +8,6 @@
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <tuple>
 #include <unordered_map>
@@ -56,9 +55,6 @@
     /// Takes out all waiting requests.
     std::vector<queued_request> remove_all();
 
-    /// Requests of `slice` may start or not; held ones wait.
-    void hold(std::uint32_t slice, bool held);
-
     /// The server was away or is new: begin with few requests at once.
     void restart_cold();
 
@@ -92,7 +88,6 @@
     std::map<place, queued_request> m_waiting;            // Never more than m_limits.requests.
     std::unordered_map<request_number, place> m_places;   // One entry for each waiting request.
     std::unordered_map<std::string, caller_state> m_callers; // Callers with waiting requests.
-    std::set<std::uint32_t> m_held;
     std::unordered_map<std::uint32_t, std::uint32_t> m_running_of_slice;
     std::uint64_t m_bytes = 0;                            // Sum over m_waiting.
     std::uint64_t m_round = 0;                            // Of the request that started last. Never decreases.
--- a/src/include/balsampost/net/frame.h
+++ b/src/include/balsampost/net/frame.h
@@ -143,10 +143,11 @@
     bool idempotent = false;
     std::int64_t deadline_ns = 0; ///< Time left when the head was sent.
     std::vector<header_field> headers;
-    bool whole_body = true;   ///< `body` is all of it; otherwise chunks follow after `go_ahead`.
+    std::int64_t body_length = 0; ///< Bytes of the whole body; -1: not known in advance.
+    bool whole_body = true;   ///< `body` is all of it; otherwise it is the begin, and chunks follow `go_ahead`.
     std::string body;
     MSGPACK_DEFINE(request_id, trace_id, parent_span, sampled, service, server, slice, since, caller, method, target,
-                   idempotent, deadline_ns, headers, whole_body, body);
+                   idempotent, deadline_ns, headers, body_length, whole_body, body);
 };
 
 struct answer_head {
--- a/src/libbalsampost_core/cell_coordinator.cpp
+++ b/src/libbalsampost_core/cell_coordinator.cpp
@@ -87,6 +87,23 @@
     }
 }
 
+void cell_coordinator::take_loads(const home_heartbeat& heartbeat) {
+    std::map<std::uint32_t, double> reported;
+    for (const auto& load : heartbeat.loads) {
+        reported[load.slice] = load.requests_per_second;
+    }
+    // A slice of this home that is not reported had no request.
+    for (std::uint32_t i = 0; i < m_table.slices.size(); ++i) {
+        const auto* row = m_table.find(m_table.slices[i].owner);
+        if (row != nullptr && row->home == heartbeat.home) {
+            const auto at = reported.find(m_table.first_slice + i);
+            const double load = at == reported.end() ? 0 : at->second;
+            auto& smoothed = m_loads[m_table.first_slice + i];
+            smoothed += load_smoothing * (load - smoothed);
+        }
+    }
+}
+
 home_reply cell_coordinator::on_heartbeat(const home_heartbeat& heartbeat, time_point authority_until,
                                           time_point now) {
     home_reply reply;
@@ -99,9 +116,8 @@
     for (const auto& report : heartbeat.servers) {
         take_report(report, heartbeat);
     }
-    for (const auto& load : heartbeat.loads) {
-        auto& smoothed = m_loads[load.slice];
-        smoothed += load_smoothing * (load.requests_per_second - smoothed);
+    if (!heartbeat.loads.empty()) {
+        take_loads(heartbeat);
     }
     reply.authoritative = true;
     reply.table_version = m_rules.require_table ? state.required : epoch{};
--- a/src/libbalsampost_core/server_queue.cpp
+++ b/src/libbalsampost_core/server_queue.cpp
@@ -85,7 +85,7 @@
         return std::nullopt;
     }
     for (const auto& [at, request] : m_waiting) {
-        if (m_held.count(request.slice) != 0 || request.deadline <= now) {
+        if (request.deadline <= now) {
             continue;
         }
         const queued_request started = request;
@@ -151,14 +151,6 @@
     return take_if([](const queued_request&) { return true; });
 }
 
-void server_queue::hold(std::uint32_t slice, bool held) {
-    if (held) {
-        m_held.insert(slice);
-    } else {
-        m_held.erase(slice);
-    }
-}
-
 void server_queue::restart_cold() { m_limit = std::max(1.0, m_limits.slots / 4.0); }
 
 std::uint32_t server_queue::running_of(std::uint32_t slice) const {
