net: frames are no aggregates, so that awaited calls destroy them once

Cause: daemons aborted in free() under callers' traffic. AddressSanitizer showed a frame destroyed twice: GCC 12 copies a braced aggregate argument of an awaited coroutine bitwise. Ruled out: the body limit (a separate fault, Beast 1.74 compares an empty optional as the lower bound; also mended here). Change: frame has constructors; no braced temporaries in awaited calls; numeric body limits.

--- a/src/balsampost_load/runner.cpp
+++ b/src/balsampost_load/runner.cpp
@@ -128,7 +128,7 @@
         co_return false;
     }
     http::response_parser<http::string_body> parser;
-    parser.body_limit(boost::none);
+    parser.body_limit(std::numeric_limits<std::uint64_t>::max());
     co_await http::async_read(c.stream, c.buffer, parser, into(ec));
     if (ec) {
         co_return false;
--- a/src/balsampostd/caller_session.cpp
+++ b/src/balsampostd/caller_session.cpp
@@ -114,7 +114,7 @@
     }
     request_parser parser;
     parser.header_limit(limits.header_bytes);
-    parser.body_limit(boost::none);
+    parser.body_limit(std::numeric_limits<std::uint64_t>::max());
     m_stream.expires_after(limits.header_time);
     co_await http::async_read_header(m_stream, m_buffer, parser, into(ec));
     if (ec) {
--- a/src/balsampostd/server_call.cpp
+++ b/src/balsampostd/server_call.cpp
@@ -88,7 +88,7 @@
         m_connection->stream.socket().close(ec); // The caller left; closing tells the server.
     });
     x.parser.header_limit(answer_header_bytes);
-    x.parser.body_limit(boost::none);
+    x.parser.body_limit(std::numeric_limits<std::uint64_t>::max());
     if (m_head.method == "HEAD") {
         x.parser.skip(true);
     }
--- a/src/include/balsampost/net/frame.h
+++ b/src/include/balsampost/net/frame.h
@@ -47,6 +47,10 @@
 inline constexpr std::uint8_t last_frame_type = static_cast<std::uint8_t>(frame_type::refusal);
 
 struct frame {
+    // Not an aggregate: GCC 12 destroys a braced temporary twice when it is an argument of an awaited coroutine.
+    frame() = default;
+    frame(frame_type t, std::uint64_t r, std::string p) : type(t), request(r), payload(std::move(p)) {}
+
     frame_type type = frame_type::ping;
     std::uint64_t request = 0;
     std::string payload;
--- a/src/libbalsampost_net/link.cpp
+++ b/src/libbalsampost_net/link.cpp
@@ -118,7 +118,8 @@
         co_return core::fail(core::error_code::protocol, "no challenge from " + core::to_string(to));
     }
     const auto hello = make_hello(identity.keys, identity.self, *challenge, fresh_nonce());
-    auto written = co_await l->write(message_frame(frame_type::hello, hello), deadline);
+    frame said = message_frame(frame_type::hello, hello);
+    auto written = co_await l->write(std::move(said), deadline);
     if (!written) {
         co_return tl::unexpected(written.error());
     }
@@ -142,7 +143,8 @@
                                               link_traffic& traffic, core::time_point deadline) {
     auto l = std::make_shared<link>(std::move(socket), traffic);
     const challenge_message challenge{fresh_nonce()};
-    auto written = co_await l->write(message_frame(frame_type::challenge, challenge), deadline);
+    frame asked = message_frame(frame_type::challenge, challenge);
+    auto written = co_await l->write(std::move(asked), deadline);
     if (!written) {
         co_return tl::unexpected(written.error());
     }
@@ -162,7 +164,8 @@
         co_return tl::unexpected(welcome.error());
     }
     l->set_peer(hello->from);
-    auto answered = co_await l->write(message_frame(frame_type::welcome, *welcome), deadline);
+    frame proof = message_frame(frame_type::welcome, *welcome);
+    auto answered = co_await l->write(std::move(proof), deadline);
     if (!answered) {
         co_return tl::unexpected(answered.error());
     }
@@ -184,7 +187,8 @@
             co_return l;
         }
         const auto until = std::min(deadline, now() + probe_time);
-        auto sent = co_await l->write({frame_type::ping, 0, ""}, until);
+        frame ping(frame_type::ping, 0, "");
+        auto sent = co_await l->write(std::move(ping), until);
         if (sent) {
             auto pong = co_await l->read(until);
             if (pong && pong->type == frame_type::pong) {
