core: an unresolved lease write is sent again as the same write

Cause: with the store out while the holder was killed, the standby's two takeover writes stayed unresolved, and the bound on unresolved writes kept it from ever trying again: 1309 of 2405 requests were refused as not_home.

--- a/src/balsampost_load/runner.cpp
+++ b/src/balsampost_load/runner.cpp
@@ -44,6 +44,7 @@
 
 private:
     awaitable<void> arrivals();
+    awaitable<connection_ptr> connect(core::endpoint entry);
     awaitable<void> one_request(std::size_t index, core::endpoint entry);
     awaitable<bool> exchange(caller_connection& c, caller_record record, std::size_t index);
     void judge_answer(caller_record& record, const http::response<http::string_body>& answer);
@@ -78,23 +79,38 @@
     }
 }
 
-awaitable<void> runner::one_request(std::size_t index, core::endpoint entry) {
-    m_records[index].began = now();
+awaitable<connection_ptr> runner::connect(core::endpoint entry) {
     auto& idle = m_idle[entry];
-    connection_ptr connection;
-    if (!idle.empty()) {
-        connection = std::move(idle.back());
+    while (!idle.empty()) {
+        auto connection = std::move(idle.back());
         idle.pop_back();
-    } else {
-        net::beast::tcp_stream stream(m_context);
         error_code ec;
-        stream.expires_after(m_settings.deadline);
-        co_await stream.async_connect(net::to_tcp(entry), into(ec));
-        if (!ec) {
-            stream.socket().set_option(net::tcp::no_delay(true), ec);
-            connection = std::make_unique<caller_connection>(std::move(stream));
+        char byte = 0;
+        connection->stream.socket().non_blocking(true, ec);
+        connection->stream.socket().receive(net::asio::buffer(&byte, 1), net::tcp::socket::message_peek, ec);
+        if (ec == net::asio::error::would_block) {
+            co_return connection;
         }
     }
+    net::beast::tcp_stream stream(m_context);
+    error_code ec;
+    stream.expires_after(m_settings.deadline);
+    co_await stream.async_connect(net::to_tcp(entry), into(ec));
+    if (ec) {
+        co_return nullptr;
+    }
+    stream.socket().set_option(net::tcp::no_delay(true), ec);
+    co_return std::make_unique<caller_connection>(std::move(stream));
+}
+
+awaitable<void> runner::one_request(std::size_t index, core::endpoint entry) {
+    m_records[index].began = now();
+    // Like the platform's balancer: an entry that does not accept is passed over, since nothing was sent to it.
+    auto connection = co_await connect(entry);
+    for (std::size_t i = 0; i < m_settings.entries.size() && !connection; ++i) {
+        entry = m_settings.entries[i];
+        connection = co_await connect(entry);
+    }
     if (connection && co_await exchange(*connection, m_records[index], index)) {
         ++connection->used;
         m_idle[entry].push_back(std::move(connection));
--- a/src/balsampostd/cell_runner.cpp
+++ b/src/balsampostd/cell_runner.cpp
@@ -19,6 +19,8 @@
 constexpr core::milliseconds store_time{4000};
 /// A table write that takes longer counts as a store that is out, so that the standby's word suffices.
 constexpr core::milliseconds store_patience{100};
+/// Pause after a write that the store did not answer.
+constexpr core::milliseconds write_pause{100};
 /// Interval between looks at a lease object that nobody is heard of.
 constexpr core::milliseconds lease_poll{400};
 
@@ -139,10 +141,13 @@
 awaitable<void> cell_runner::write_lease(core::lease_object value) {
     const auto based_on = m_lease.known().version;
     const bool takeover = !m_lease.is_holder();
-    value.write_id = m_around.unique_number();
-    value.members_version = m_around.view().members->version;
-    m_lease.sent(value, now());
-    if (takeover) {
+    const bool first_sending = value.write_id == 0;
+    if (first_sending) {
+        value.write_id = m_around.unique_number();
+        value.members_version = m_around.view().members->version;
+        m_lease.sent(value, now());
+    }
+    if (takeover && first_sending) {
         telemetry::log(event::takeover_tried, {{"cell", core::to_string(m_id)}, {"term", std::to_string(value.term)}});
     }
     const auto written = co_await m_around.store.write(lease_name(), net::pack_message(value), based_on, store_time);
@@ -153,12 +158,16 @@
     }
     if (written.error().code == core::error_code::conflict || written.error().code == core::error_code::unavailable) {
         // Certainly not written. After a conflict the object has moved on, which the read below shows.
-        m_lease.dead(value.write_id);
-    }
-    if (written.error().code == core::error_code::unavailable) {
-        co_await net::wait_for(core::milliseconds(100));
+        // An earlier sending of the same write may still be on its way, unless the version has moved on.
+        const bool only_sending = first_sending || written.error().code == core::error_code::conflict;
+        if (only_sending) {
+            m_lease.dead(value.write_id);
+        }
     }
     co_await read_lease();
+    if (written.error().code != core::error_code::conflict) {
+        co_await net::wait_for(write_pause);
+    }
 }
 
 awaitable<void> cell_runner::run_lease() {
--- a/src/balsampostd/forwarder.cpp
+++ b/src/balsampostd/forwarder.cpp
@@ -20,10 +20,12 @@
     return {net::frame_type::request_head, 0, net::pack_message(head)};
 }
 
-/// Refusals that say that the route has changed or will change, not that a server is in trouble.
-bool is_about_route(core::refusal_reason reason) {
+/// Refusals that say that the route has changed or will change, not that a server is in trouble. A key's only server
+/// that cannot be reached is about to lose the key.
+bool is_about_route(core::refusal_reason reason, bool keyed) {
     return reason == core::refusal_reason::not_home || reason == core::refusal_reason::no_owner ||
-           reason == core::refusal_reason::shutting_down;
+           reason == core::refusal_reason::shutting_down ||
+           (keyed && reason == core::refusal_reason::server_unreachable);
 }
 
 } // namespace
@@ -198,7 +200,7 @@
     if (end.sent) {
         return m_request.head.idempotent && end.result.refused == core::refusal_reason::connection_lost;
     }
-    if (is_about_route(end.result.refused) || end.result.refused == core::refusal_reason::server_unreachable ||
+    if (is_about_route(end.result.refused, m_request.service->divided_by_key) || end.result.refused == core::refusal_reason::server_unreachable ||
         end.result.refused == core::refusal_reason::server_refused) {
         return true;
     }
@@ -210,7 +212,11 @@
     // Each attempt has an id of its own: a home refuses one that it saw already.
     const auto& id = m_request.head.request_id;
     m_request.head.request_id = id.substr(0, id.find('/')) + "/" + std::to_string(m_repeats);
-    if (is_about_route(end.result.refused)) {
+    if (is_about_route(end.result.refused, m_request.service->divided_by_key)) {
+        if (!m_request.service->divided_by_key) {
+            m_owner.choice().failed(m_request.head.server, now());
+            m_tried.push_back(m_request.head.server);
+        }
         // Nothing was sent to a server; waiting for the next view costs no server anything.
         co_await m_owner.view_change(std::min(m_request.deadline, now() + look_again));
         co_return now() < m_request.deadline;
--- a/src/balsampostd/server_gate.cpp
+++ b/src/balsampostd/server_gate.cpp
@@ -39,8 +39,10 @@
     return at != m_owned.end() && at->second == since;
 }
 
-bool server_gate::is_draining(std::uint32_t slice) const {
-    return std::find(m_served.draining.begin(), m_served.draining.end(), slice) != m_served.draining.end();
+bool server_gate::admits(std::uint32_t slice) const {
+    const auto& draining = m_served.draining;
+    const bool stays = std::find(draining.begin(), draining.end(), slice) == draining.end();
+    return !m_served.draining_all && (!m_keyed || (m_owned.count(slice) != 0 && stays));
 }
 
 void server_gate::update(const core::home_agent::served& served) {
@@ -53,19 +55,16 @@
     if (was_away && leased(now())) {
         m_queue.restart_cold();
     }
-    for (const auto slice : served.draining) {
-        refuse(m_queue.remove_slice(slice), core::refusal_reason::not_home);
-    }
-    if (served.draining_all) {
-        refuse(m_queue.remove_all(), core::refusal_reason::not_home);
-    }
+    // What waits for a slice that is leaving or gone finds its new owner sooner by way of the entry.
+    refuse(m_queue.take_if([&](const core::queued_request& r) { return !admits(r.slice); }),
+           core::refusal_reason::not_home);
     report_drained();
     pump();
 }
 
 void server_gate::close() {
     m_closed = true;
-    refuse(m_queue.remove_all(), core::refusal_reason::not_home);
+    refuse(m_queue.take_if([](const auto&) { return true; }), core::refusal_reason::not_home);
     m_idle.clear();
 }
 
@@ -98,7 +97,13 @@
     }
 }
 
-void server_gate::expire(core::time_point t) { refuse(m_queue.expire(t), core::refusal_reason::deadline); }
+void server_gate::expire(core::time_point t) {
+    refuse(m_queue.take_if([&](const core::queued_request& r) { return r.deadline <= t; }),
+           core::refusal_reason::deadline);
+    if (!leased(t)) {
+        refuse(m_queue.take_if([](const auto&) { return true; }), core::refusal_reason::not_home);
+    }
+}
 
 void server_gate::pump() {
     if (m_closed || !leased(now())) {
@@ -113,9 +118,8 @@
 }
 
 awaitable<std::optional<core::refusal_reason>> server_gate::admit(core::queued_request request, core::epoch since) {
-    const bool mine = !m_closed && !m_served.draining_all &&
-                      (!m_keyed || (owns(request.slice, since) && !is_draining(request.slice)));
-    if (!mine) {
+    const bool same_epoch = !m_keyed || owns(request.slice, since);
+    if (m_closed || !leased(now()) || !same_epoch || !admits(request.slice)) {
         co_return core::refusal_reason::not_home;
     }
     const auto refusal = m_queue.enqueue(request, now());
--- a/src/balsampostd/server_gate.h
+++ b/src/balsampostd/server_gate.h
@@ -65,7 +65,8 @@
     };
 
     bool owns(std::uint32_t slice, const core::epoch& since) const;
-    bool is_draining(std::uint32_t slice) const;
+    /// Whether requests of `slice` may wait here.
+    bool admits(std::uint32_t slice) const;
     void pump();
     void refuse(const std::vector<core::queued_request>& requests, core::refusal_reason reason);
     void report_drained();
--- a/src/include/balsampost/core/pair_lease.h
+++ b/src/include/balsampost/core/pair_lease.h
@@ -88,8 +88,8 @@
     /// `standby` answered the request for a promise that this instance sent at `sent`.
     void promised(const instance_id& standby, time_point sent);
 
-    /// The write that this instance should send now, if any. The caller gives it a `write_id`, calls `sent`, and
-    /// sends it conditionally on `known().version`.
+    /// The write that this instance should send now, if any, conditionally on `known().version`. If its `write_id` is
+    /// 0 it is a new one: the caller gives it an id and calls `sent`. Otherwise an unresolved one is sent again.
     std::optional<lease_object> next_write(const pair_view& view, time_point now) const;
     void sent(const lease_object& value, time_point now);
 
@@ -105,7 +105,7 @@
     /// The time until which `standby` has promised this instance not to take over; `never` if it has not.
     time_point promise_of(const instance_id& standby) const;
 
-    /// A canonical text of the whole state, for the explorer.
+    /// Canonical bytes of the whole state, for the explorer.
     void append_state(std::string& out) const;
 
 private:
--- a/src/include/balsampost/core/server_queue.h
+++ b/src/include/balsampost/core/server_queue.h
@@ -6,6 +6,7 @@
 #include "balsampost/core/time.h"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -46,14 +47,10 @@
     std::optional<queued_request> start_next(time_point now);
     void finished(const queued_request& request, run_result result, duration run_time, time_point now);
 
-    /// Requests whose deadline has passed while they waited; they leave the queue.
-    std::vector<queued_request> expire(time_point now);
+    /// Takes the waiting requests that fulfil `condition` out of the queue.
+    std::vector<queued_request> take_if(const std::function<bool(const queued_request&)>& condition);
     /// The caller left: takes a waiting request out. False if it is not waiting.
     bool remove(request_number number);
-    /// Takes out all waiting requests of `slice`, for answering them as moved.
-    std::vector<queued_request> remove_slice(std::uint32_t slice);
-    /// Takes out all waiting requests.
-    std::vector<queued_request> remove_all();
 
     /// The server was away or is new: begin with few requests at once.
     void restart_cold();
@@ -62,7 +59,6 @@
     std::uint64_t waiting_bytes() const { return m_bytes; }
     std::uint32_t running() const { return m_running; }
     std::uint32_t running_of(std::uint32_t slice) const;
-    std::size_t waiting_of(std::uint32_t slice) const;
     /// Requests that may run at once now: between 1 and the slots.
     std::uint32_t concurrency() const { return static_cast<std::uint32_t>(m_limit); }
     /// Smoothed run time of completed requests.
@@ -81,8 +77,6 @@
 
     std::uint64_t round_for(caller_state& caller) const;
     void forget(const place& at, const queued_request& request);
-    template <class Predicate>
-    std::vector<queued_request> take_if(Predicate predicate);
 
     queue_limits m_limits;
     std::map<place, queued_request> m_waiting;            // Never more than m_limits.requests.
--- a/src/libbalsampost_core/pair_lease.cpp
+++ b/src/libbalsampost_core/pair_lease.cpp
@@ -133,16 +133,24 @@
 }
 
 std::optional<lease_object> pair_lease::next_write(const pair_view& view, time_point now) const {
-    if (m_pending.size() >= max_unresolved_writes) {
-        return std::nullopt;
-    }
+    std::optional<lease_object> next;
     if (is_holder()) {
-        return holder_write(view, now);
+        next = holder_write(view, now);
+    } else if (may_take_over(view, now)) {
+        next = lease_object{m_known.version, m_self, {}, m_known.term + 1, 0, 0};
     }
-    if (may_take_over(view, now)) {
-        return lease_object{m_known.version, m_self, {}, m_known.term + 1, 0, 0};
+    if (!next) {
+        return std::nullopt;
     }
-    return std::nullopt;
+    // The same change again is the same write: sent twice it takes effect once, and counts from its first sending.
+    for (const auto& write : m_pending) {
+        if (write.based_on == m_known.version && write.value.holder == next->holder &&
+            write.value.standby == next->standby) {
+            return write.value;
+        }
+    }
+    next->write_id = 0;
+    return m_pending.size() < max_unresolved_writes ? next : std::nullopt;
 }
 
 void pair_lease::sent(const lease_object& value, time_point now) {
@@ -154,7 +162,7 @@
 }
 
 void pair_lease::append_state(std::string& out) const {
-    const auto add_number = [&](std::int64_t n) { out += std::to_string(n) + ","; };
+    const auto add_number = [&](std::int64_t n) { out.append(reinterpret_cast<const char*>(&n), sizeof n); };
     const auto add_time = [&](time_point t) { add_number(t == never ? -1 : t.time_since_epoch().count()); };
     const auto add_object = [&](const lease_object& o) {
         add_number(static_cast<std::int64_t>(o.version));
--- a/src/libbalsampost_core/server_queue.cpp
+++ b/src/libbalsampost_core/server_queue.cpp
@@ -120,11 +120,10 @@
     }
 }
 
-template <class Predicate>
-std::vector<queued_request> server_queue::take_if(Predicate predicate) {
+std::vector<queued_request> server_queue::take_if(const std::function<bool(const queued_request&)>& condition) {
     std::vector<queued_request> taken;
     for (const auto& [at, request] : m_waiting) {
-        if (predicate(request)) {
+        if (condition(request)) {
             taken.push_back(request);
         }
     }
@@ -135,20 +134,15 @@
     return taken;
 }
 
-std::vector<queued_request> server_queue::expire(time_point now) {
-    return take_if([&](const queued_request& r) { return r.deadline <= now; });
-}
-
 bool server_queue::remove(request_number number) {
-    return !take_if([&](const queued_request& r) { return r.number == number; }).empty();
-}
-
-std::vector<queued_request> server_queue::remove_slice(std::uint32_t slice) {
-    return take_if([&](const queued_request& r) { return r.slice == slice; });
-}
-
-std::vector<queued_request> server_queue::remove_all() {
-    return take_if([](const queued_request&) { return true; });
+    const auto at = m_places.find(number);
+    if (at == m_places.end()) {
+        return false;
+    }
+    const place key = at->second;
+    const queued_request request = m_waiting.at(key);
+    forget(key, request);
+    return true;
 }
 
 void server_queue::restart_cold() { m_limit = std::max(1.0, m_limits.slots / 4.0); }
@@ -158,9 +152,4 @@
     return at == m_running_of_slice.end() ? 0 : at->second;
 }
 
-std::size_t server_queue::waiting_of(std::uint32_t slice) const {
-    return static_cast<std::size_t>(std::count_if(m_waiting.begin(), m_waiting.end(),
-                                                  [&](const auto& w) { return w.second.slice == slice; }));
-}
-
 } // namespace balsampost::core
