core: a released slice is forgotten when its server gets another home

Cause: the ownership walk (random orders of heartbeats, lost and late orders, pauses, cuts, takeovers) found two owners: a home reported a slice as released, was lost before the slice had a new owner, and the next home granted it again while the coordinator still held it for free. Ruled out: the walk's own takeover (it first let a successor start too early). Change: on commit the coordinator forgets what a replaced home reported. Tests: the walk, an explorer of all sequences of 8 actions of the pair lease (1,172,076 states), each safety rule switched off in turn, queue, objects, planner.

--- a/src/include/balsampost/core/pair_lease.h
+++ b/src/include/balsampost/core/pair_lease.h
@@ -57,7 +57,7 @@
     bool wait_promise = true; ///< A standby waits its own last promise out before it takes over.
     bool no_promise_while_pending = true; ///< No promise while an own takeover is unresolved.
     bool observe_solo = true; ///< A solo lease is taken over only after its full length was observed unrenewed.
-    bool write_ids = true;    ///< A writer tells its own like writes apart.
+    bool same_write = true;   ///< Like changes are one write under one id, so its effect is told from its first sending.
 };
 
 /// What an instance believes about the other instances when it decides on a write.
--- a/src/libbalsampost_core/cell_coordinator.cpp
+++ b/src/libbalsampost_core/cell_coordinator.cpp
@@ -354,7 +354,11 @@
     for (const auto& row : m_proposal->servers) {
         const auto* before = m_table.find(row.number);
         if (before != nullptr && before->home_since != row.home_since) {
-            m_servers.erase(row.number); // What the former home reported meanwhile is over.
+            // What the former home reported is over: the new one grants again whatever the table says.
+            m_servers.erase(row.number);
+            std::erase_if(m_free, [&](const auto& free) {
+                return m_proposal->slice_at(free.first).owner == row.number;
+            });
         }
     }
     m_table = std::move(*m_proposal);
--- a/src/libbalsampost_core/pair_lease.cpp
+++ b/src/libbalsampost_core/pair_lease.cpp
@@ -26,7 +26,7 @@
     time_point solo_until = never;
     for (const auto& write : m_pending) {
         const bool same_pair = write.value.holder == object.holder && write.value.standby == object.standby;
-        const bool own = m_rules.write_ids ? write.value.write_id == object.write_id : same_pair;
+        const bool own = m_rules.same_write ? write.value.write_id == object.write_id : same_pair;
         if (own && same_pair && write.value.solo() && write.value.holder == m_self) {
             solo_until = std::max(solo_until, after(write.sent, m_timing.relied(m_timing.solo)));
         }
@@ -144,7 +144,7 @@
     }
     // The same change again is the same write: sent twice it takes effect once, and counts from its first sending.
     for (const auto& write : m_pending) {
-        if (write.based_on == m_known.version && write.value.holder == next->holder &&
+        if (m_rules.same_write && write.based_on == m_known.version && write.value.holder == next->holder &&
             write.value.standby == next->standby) {
             return write.value;
         }
