daemon: a planned stop hands everything over before it ends

Cause: replacing all instances one after another under load refused 90 of 2,102 requests and cut one off. Reasons: a starting instance accepted callers before it had its objects (no_route); a holder that had just taken over left while solo, so nobody could follow before its solo length (no_owner, 3.7 s); idle connections were closed under callers. Change: the callers' port listens once objects, members and tables are in force; a leaving holder first hands its table to a standby and stays until the standby took over; a leaving instance closes each connection with its answer for a second before it stops accepting.

--- a/src/balsampostd/caller_session.cpp
+++ b/src/balsampostd/caller_session.cpp
@@ -86,12 +86,12 @@
     response.set("Balsampost-Reason", reason);
     response.set(http::field::content_type, "text/plain");
     response.body() = reason + ": " + detail + "\n";
-    response.keep_alive(keep && m_owner.accepts());
+    response.keep_alive(keep && m_owner.keeps_connections());
     response.prepare_payload();
     error_code ec;
     m_stream.expires_after(m_owner.config().limits.stall_time);
     co_await http::async_write(m_stream, response, into(ec));
-    co_return !ec && keep;
+    co_return !ec && keep && m_owner.keeps_connections();
 }
 
 awaitable<bool> caller_session::refuse(core::refusal_reason reason, std::string detail, bool keep) {
@@ -294,7 +294,7 @@
         }
     }
     response.set("Balsampost-Outcome", "answered");
-    const bool keep = parser.get().keep_alive() && parser.is_done() && m_owner.accepts();
+    const bool keep = parser.get().keep_alive() && parser.is_done() && m_owner.keeps_connections();
     response.keep_alive(keep);
     const bool head_only = parser.get().method() == http::verb::head;
     const bool bodyless = answer.status == 204 || answer.status == 304;
--- a/src/balsampostd/cell_runner.cpp
+++ b/src/balsampostd/cell_runner.cpp
@@ -87,7 +87,7 @@
 core::pair_view cell_runner::pair_view_now() const {
     const auto& known = m_lease.known();
     core::pair_view view;
-    view.resigning = m_around.leaving();
+    view.resigning = m_around.leaving() && (resigned() || !m_lease.is_holder());
     view.holder_gone = known.version != 0 && gone(known.holder);
     view.standby_gone = known.version != 0 && gone(known.standby);
     for (const auto& id : candidates()) {
@@ -109,7 +109,7 @@
         return false;
     }
     if (m_lease.is_holder()) {
-        return m_lease.has_unresolved_write();
+        return m_lease.has_unresolved_write() || (m_around.leaving() && !m_lease.in_authority(t));
     }
     if (m_lease.is_standby()) {
         return false;
@@ -237,14 +237,14 @@
 
 awaitable<void> cell_runner::run_promises() {
     while (!m_retired) {
-        if (m_lease.is_holder() && !m_around.leaving()) {
+        if (m_lease.is_holder()) {
             const auto standby = m_lease.known().standby;
             const auto next = pair_view_now().next_standby;
-            if (!standby.empty()) {
+            if (!standby.empty() && !resigned()) {
                 net::spawn(m_around.context, ask_for_promise(standby));
             }
             const bool doubtful = standby.empty() || now() >= m_lease.promise_of(standby) - m_timing.renew;
-            if (!next.empty() && next != standby && doubtful) {
+            if (!next.empty() && next != standby && doubtful && !(resigned() && !standby.empty())) {
                 net::spawn(m_around.context, ask_for_promise(next));
             }
         }
@@ -252,6 +252,13 @@
     }
 }
 
+bool cell_runner::resigned() const {
+    const auto& standby = m_lease.known().standby;
+    // With servers still to hand over, or a standby that lacks the table, this instance goes on for a while.
+    return m_around.leaving() && !m_home.is_home() && !standby.empty() && m_standby_asked == standby &&
+           m_standby_holds >= m_coordinator.table().version;
+}
+
 net::promise_answer cell_runner::on_promise_request(const net::promise_request& request) {
     net::promise_answer answer;
     m_lease.observe(request.lease, now());
@@ -292,7 +299,7 @@
 awaitable<void> cell_runner::run_coordinator() {
     while (!m_retired) {
         if (in_authority()) {
-            if (!m_coordinator.active() && !m_around.leaving()) {
+            if (!m_coordinator.active()) {
                 co_await begin_term();
             }
             tick_coordinator();
@@ -470,6 +477,6 @@
     m_beat_now.notify_all();
 }
 
-bool cell_runner::busy() const { return m_home.is_home(); }
+bool cell_runner::busy() const { return m_home.is_home() || m_lease.is_holder(); }
 
 } // namespace balsampost::daemon
--- a/src/balsampostd/cell_runner.h
+++ b/src/balsampostd/cell_runner.h
@@ -83,6 +83,8 @@
     void send_homes();
     void start_order_loops();
     bool in_authority() const;
+    /// Leaving, with everything handed over but the authority itself.
+    bool resigned() const;
     bool should_read_lease(core::time_point now) const;
     core::pair_view pair_view_now() const;
     core::cell_view cell_view_now() const;
--- a/src/balsampostd/control.cpp
+++ b/src/balsampostd/control.cpp
@@ -18,6 +18,11 @@
 /// An instance that could not be reached is not chosen for this long.
 constexpr core::milliseconds unreachable_memory{1000};
 constexpr core::milliseconds status_interval{100};
+/// A leaving instance accepts callers for at least this long, each answer closing its connection, so that the platform's
+/// balancer learns of it and idle connections are used up.
+constexpr core::milliseconds close_grace{1000};
+/// A starting instance that has its objects waits this long for every cell's table before it accepts callers.
+constexpr core::milliseconds table_patience{3000};
 /// Room for this many numbers a run; incarnations are nanoseconds, so runs do not collide.
 constexpr unsigned number_bits = 20;
 
@@ -189,6 +194,7 @@
 void control::leave(std::function<void()> done) {
     m_leaving = true;
     announce();
+    m_to_traffic->push(close_connections{});
     for (auto& [id, runner] : m_cells) {
         runner->leave();
     }
@@ -200,7 +206,8 @@
     const auto busy = [this] {
         return std::any_of(m_cells.begin(), m_cells.end(), [](const auto& c) { return c.second->busy(); });
     };
-    while (busy() && now() < deadline) {
+    const auto grace = now() + close_grace;
+    while ((busy() || now() < grace) && now() < deadline) {
         co_await net::wait_for(core::milliseconds(20));
     }
     m_to_traffic->push(stop_accepting{});
@@ -226,10 +233,24 @@
             static_cast<double>(out.bytes_received + m_accepted_traffic.bytes_received));
         m_metrics.protocol_errors.Set(static_cast<double>(out.protocol_errors + m_accepted_traffic.protocol_errors));
         store_state(m_store.out());
+        open_for_callers();
         co_await net::wait_for(status_interval);
     }
 }
 
+void control::open_for_callers() {
+    if (m_ready || m_leaving || m_config_version == 0 || m_view->members->version == 0) {
+        return;
+    }
+    const bool tables = std::all_of(m_cells.begin(), m_cells.end(), [](const auto& c) {
+        return c.second->home().table().version != core::epoch{};
+    });
+    if (tables || now() - m_config_since > table_patience) {
+        m_ready = true;
+        m_to_traffic->push(start_accepting{});
+    }
+}
+
 void control::store_state(bool out) {
     if (out != m_store_out) {
         m_store_out = out;
--- a/src/balsampostd/control.h
+++ b/src/balsampostd/control.h
@@ -61,6 +61,7 @@
     void run_move(operator_command& command);
     void run_explain(operator_command& command);
     void store_state(bool out);
+    void open_for_callers();
     cell_runner* cell(const core::cell_id& id);
     cell_surroundings surroundings();
     std::string status_json();
@@ -82,6 +83,7 @@
     std::uint64_t m_next_number;
     std::uint64_t m_announcements = 0;
     std::uint64_t m_config_version = 0;  // In force here. Never decreases.
+    core::time_point m_config_since = core::never; // When objects were first in force here.
     bool m_leaving = false;
     bool m_traffic_idle = false;
     bool m_store_out = false;
--- a/src/balsampostd/control_state.cpp
+++ b/src/balsampostd/control_state.cpp
@@ -90,13 +90,15 @@
     auto next = std::make_shared<routing_view>(*m_view);
     next->objects = std::make_shared<core::object_set>(std::move(*parsed));
     m_view = std::move(next);
+    if (m_config_version == 0) {
+        m_config_since = now();
+    }
     m_config_version = value.version.sequence;
     m_metrics.config_version.Set(static_cast<double>(m_config_version));
     m_relay.set_members(m_view->members, store_region_of(*m_view->objects));
     update_cells();
     share_view();
     announce();
-    m_ready = true;
     telemetry::log(event::config_in_force, {{"version", std::to_string(m_config_version)}});
 }
 
--- a/src/balsampostd/shared.h
+++ b/src/balsampostd/shared.h
@@ -49,10 +49,14 @@
     std::vector<core::home_agent::served> servers;
 };
 
+/// The objects are in force here: callers may come.
+struct start_accepting {};
+/// The instance is leaving: each answer closes its connection.
+struct close_connections {};
 struct stop_accepting {};
 
 /// Control to traffic.
-using traffic_order = std::variant<std::monostate, view_ptr, homes_update, stop_accepting>;
+using traffic_order = std::variant<std::monostate, view_ptr, homes_update, start_accepting, close_connections, stop_accepting>;
 
 /// A slice has run out at a server, after the home asked for it.
 struct slice_drained {
--- a/src/balsampostd/traffic.cpp
+++ b/src/balsampostd/traffic.cpp
@@ -34,9 +34,8 @@
 traffic::~traffic() { stop(); }
 
 void traffic::start() {
-    m_callers.emplace(net::listen_on(m_context, m_settings.listen.callers));
+    m_callers.emplace(net::bind_to(m_context, m_settings.listen.callers));
     m_peers.emplace(net::listen_on(m_context, m_settings.listen.data));
-    net::spawn(m_context, accept_callers());
     net::spawn(m_context, accept_peers());
     net::spawn(m_context, every_tick());
     m_thread = std::thread([this] { m_context.run(); });
@@ -93,6 +92,12 @@
         m_view_changed.notify_all();
     } else if (const auto* homes = std::get_if<homes_update>(&order)) {
         update_homes(*homes);
+    } else if (std::holds_alternative<start_accepting>(order)) {
+        net::error_code ec;
+        m_callers->listen(net::tcp::acceptor::max_listen_connections, ec);
+        net::spawn(m_context, accept_callers());
+    } else if (std::holds_alternative<close_connections>(order)) {
+        m_closing = true;
     } else if (std::holds_alternative<stop_accepting>(order)) {
         m_stopping = true;
         net::error_code ec;
--- a/src/balsampostd/traffic.h
+++ b/src/balsampostd/traffic.h
@@ -39,6 +39,8 @@
 
     const routing_view& view() const { return *m_view; }
     bool accepts() const { return !m_stopping; }
+    /// False once callers' connections are to be closed after their answer.
+    bool keeps_connections() const { return !m_closing && !m_stopping; }
     const settings& config() const { return m_settings; }
     const core::instance_id& self() const { return m_self; }
     metrics& measured() { return m_metrics; }
@@ -83,6 +85,7 @@
     core::request_number m_next_number = 0;
     std::uint32_t m_open_callers = 0;
     std::uint32_t m_in_flight = 0;               // Callers' and peers' requests not yet answered.
+    bool m_closing = false;
     bool m_stopping = false;
     bool m_idle_reported = false;
     std::thread m_thread;
--- a/src/include/balsampost/net/asio.h
+++ b/src/include/balsampost/net/asio.h
@@ -53,6 +53,9 @@
     });
 }
 
+/// Binds a socket to `at` that refuses connections until `listen` is called on it.
+tcp::acceptor bind_to(asio::io_context& context, const core::endpoint& at);
+
 /// Opens a listening socket on `at`, with SO_REUSEADDR. Throws `boost::system::system_error` if the address is not
 /// to be had; the programs report that at start.
 tcp::acceptor listen_on(asio::io_context& context, const core::endpoint& at);
--- a/src/libbalsampost_core/pair_lease.cpp
+++ b/src/libbalsampost_core/pair_lease.cpp
@@ -91,8 +91,8 @@
 
 std::optional<lease_object> pair_lease::holder_write(const pair_view& view, time_point now) const {
     lease_object next = m_known;
-    if (view.resigning) {
-        return std::nullopt; // A leaving holder lets its basis run out; the standby or an observer takes over.
+    if (view.resigning && !m_known.solo()) {
+        return std::nullopt; // A leaving holder lets its basis run out, and the standby takes over.
     }
     const bool next_promises = !view.next_standby.empty() && now < promise_of(view.next_standby);
     if (m_known.solo()) {
--- a/src/libbalsampost_net/asio.cpp
+++ b/src/libbalsampost_net/asio.cpp
@@ -10,14 +10,18 @@
     co_await timer.async_wait(into(ec));
 }
 
-tcp::acceptor listen_on(asio::io_context& context, const core::endpoint& at) {
-    constexpr int backlog = 1024;
+tcp::acceptor bind_to(asio::io_context& context, const core::endpoint& at) {
     tcp::acceptor acceptor(context);
     const auto where = to_tcp(at);
     acceptor.open(where.protocol());
     acceptor.set_option(tcp::acceptor::reuse_address(true));
     acceptor.bind(where);
-    acceptor.listen(backlog);
+    return acceptor;
+}
+
+tcp::acceptor listen_on(asio::io_context& context, const core::endpoint& at) {
+    auto acceptor = bind_to(context, at);
+    acceptor.listen();
     return acceptor;
 }
 
