--- a/src/balsampostd/caller_session.cpp
+++ b/src/balsampostd/caller_session.cpp
@@ -26,6 +26,9 @@
 constexpr std::size_t chunk_bytes = 32U << 10U;
 /// Bodies up to this size travel with the head, so that they can be sent again.
 constexpr std::size_t inline_body_bytes = 64U << 10U;
+/// What a caller still sends after its last answer is read and dropped up to these bounds.
+constexpr core::milliseconds linger_time{1000};
+constexpr std::size_t linger_bytes = 1U << 20U;
 constexpr std::int64_t longest_deadline_ms = 600'000;
 constexpr const char* deadline_header = "Balsampost-Deadline-Ms";
 constexpr const char* caller_header = "Balsampost-Caller";
@@ -47,11 +50,11 @@
             keep = co_await serve_one(first);
             first = false;
         }
-        error_code ec;
-        m_stream.socket().shutdown(net::tcp::socket::shutdown_send, ec);
+        co_await close_gently();
     }
 
 private:
+    awaitable<void> close_gently();
     awaitable<bool> serve_one(bool first);
     awaitable<bool> route_request(request_parser& parser);
     awaitable<bool> forward(request_parser& parser, entry_request& request);
@@ -80,6 +83,18 @@
     return ec == http::error::body_limit ? 413 : 400;
 }
 
+/// Closing with unread bytes resets the connection, and the caller would lose the answer it has not read yet.
+awaitable<void> caller_session::close_gently() {
+    error_code ec;
+    m_stream.socket().shutdown(net::tcp::socket::shutdown_send, ec);
+    std::size_t discarded = 0;
+    m_stream.expires_after(linger_time);
+    while (!ec && discarded < linger_bytes && m_owner.accepts()) {
+        m_buffer.clear();
+        discarded += co_await m_stream.async_read_some(m_buffer.prepare(chunk_bytes), into(ec));
+    }
+}
+
 awaitable<bool> caller_session::refuse(unsigned status, core::outcome outcome, std::string reason,
                                        std::string detail, bool keep) {
     http::response<http::string_body> response(static_cast<http::status>(status), http_1_1);
--- a/testsuite/common/deployment.sh
+++ b/testsuite/common/deployment.sh
@@ -104,7 +104,7 @@
 
 start_deployment() {
     mkdir -p "$RUN_DIR"
-    rm -f "$RUN_DIR"/*
+    find "$RUN_DIR" -type f ! -name case.err -delete
     write_members
     start_platform
     local number name service
--- a/testsuite/common/fault_case.sh
+++ b/testsuite/common/fault_case.sh
@@ -10,6 +10,7 @@
 KEYED=${SERVICES%% *}
 VICTIM=$KEYED-1
 
+mkdir -p "$RUN_DIR"
 # Kills that bash reports would differ from run to run.
 exec 2> "$RUN_DIR/case.err"
 
