--- a/bench/fault_run.sh
+++ b/bench/fault_run.sh
@@ -10,7 +10,8 @@
     local i n=0 v
     for ((i = 0; i < DAEMONS; i++)); do
         v=$(curl -s --max-time 1 "http://$(daemon_address "$i"):7404/metrics" | awk '/^balsampost_ownership_moves/ {print $2}')
-        n=$((n + ${v%.*}))
+        v=${v%.*}
+        n=$((n + ${v:-0}))
     done 2> /dev/null
     echo "$n"
 }
--- a/bench/run.sh
+++ b/bench/run.sh
@@ -34,7 +34,7 @@
             for ((seed = 1; seed <= RUNS; seed++)); do
                 octet=$((100 + (octet - 99) % 100))
                 fault_run "$user" "$fault" "$seed" "$octet" >> "$RUN_ROOT/rows" &
-                [ $((seed % 2)) = 0 ] && wait
+                [ $((seed % 5)) = 0 ] && wait
             done
             wait
             printf '| %s | %s | %s (%s..%s) | %s | %s | %s | %s |\n' "$user" "$fault" \
--- a/src/balsampostd/caller_session.cpp
+++ b/src/balsampostd/caller_session.cpp
@@ -59,9 +59,11 @@
     awaitable<bool> route_request(request_parser& parser);
     awaitable<bool> forward(request_parser& parser, entry_request& request);
     awaitable<bool> read_begin(request_parser& parser, net::request_head& head);
-    awaitable<bool> send_rest(request_parser& parser, net::link& link);
-    awaitable<bool> send_answer(request_parser& parser, forwarded& end);
-    awaitable<bool> stream_answer(http::response<http::buffer_body>& response, forwarded& end);
+    awaitable<bool> send_rest(request_parser& parser, net::link& link, core::traffic_class traffic,
+                              std::string region);
+    awaitable<bool> send_answer(request_parser& parser, core::traffic_class traffic, forwarded& end);
+    awaitable<bool> stream_answer(http::response<http::buffer_body>& response, core::traffic_class traffic,
+                                  forwarded& end);
     awaitable<bool> refuse(unsigned status, core::outcome outcome, std::string reason, std::string detail,
                            bool keep);
     awaitable<bool> refuse(core::refusal_reason reason, std::string detail, bool keep);
@@ -216,6 +218,7 @@
         }
     }
     request.deadline = now() + core::milliseconds(allowed);
+    request.traffic = core::traffic_class_of(match->matched->traffic_class);
     fill_head(parser, *match->matched, request);
     if (boost::algorithm::iequals(message[http::field::expect], "100-continue")) {
         http::response<http::empty_body> go_on(http::status::continue_, http_1_1);
@@ -256,7 +259,8 @@
     co_return true;
 }
 
-awaitable<bool> caller_session::send_rest(request_parser& parser, net::link& link) {
+awaitable<bool> caller_session::send_rest(request_parser& parser, net::link& link,
+                                          core::traffic_class traffic, std::string region) {
     auto storage = std::make_unique<char[]>(chunk_bytes);
     const auto stall = m_owner.config().limits.stall_time;
     while (!parser.is_done()) {
@@ -275,6 +279,9 @@
             if (!co_await link.write(std::move(chunk), now() + stall)) {
                 co_return false;
             }
+            if (region != m_owner.config().instance.region) {
+                co_await m_owner.pace(region, traffic, core::direction::out, got);
+            }
         }
     }
     net::frame end{net::frame_type::body_end, 0, ""};
@@ -284,8 +291,9 @@
 
 awaitable<bool> caller_session::forward(request_parser& parser, entry_request& request) {
     const auto began = now();
-    forwarder attempts(m_owner, request, m_stream.socket(),
-                       [&](net::link& link) { return send_rest(parser, link); });
+    forwarder attempts(m_owner, request, m_stream.socket(), [&](net::link& link, const std::string& region) {
+        return send_rest(parser, link, request.traffic, region);
+    });
     m_stream.expires_never();
     auto end = co_await attempts.run();
     const auto took = now() - began;
@@ -294,7 +302,7 @@
     if (end.answer) {
         status = end.answer->status;
         m_owner.measured().answered(took);
-        keep = co_await send_answer(parser, end);
+        keep = co_await send_answer(parser, request.traffic, end);
     } else {
         status = core::rule_of(end.refused).http_status;
         keep = co_await refuse(end.refused, end.detail, parser.is_done() && parser.get().keep_alive());
@@ -303,7 +311,8 @@
     co_return keep;
 }
 
-awaitable<bool> caller_session::send_answer(request_parser& parser, forwarded& end) {
+awaitable<bool> caller_session::send_answer(request_parser& parser, core::traffic_class traffic,
+                                            forwarded& end) {
     const auto& answer = *end.answer;
     http::response<http::buffer_body> response(static_cast<http::status>(answer.status), http_1_1);
     for (const auto& field : answer.headers) {
@@ -323,11 +332,12 @@
     } else if (!head_only && !bodyless) {
         response.chunked(true);
     }
-    const bool written = co_await stream_answer(response, end);
+    const bool written = co_await stream_answer(response, traffic, end);
     co_return written&& keep;
 }
 
-awaitable<bool> caller_session::stream_answer(http::response<http::buffer_body>& response, forwarded& end) {
+awaitable<bool> caller_session::stream_answer(http::response<http::buffer_body>& response,
+                                              core::traffic_class traffic, forwarded& end) {
     const auto stall = m_owner.config().limits.stall_time;
     http::response_serializer<http::buffer_body> serializer(response);
     auto& answer = *end.answer;
@@ -365,6 +375,9 @@
             end.link->close();
             co_return false;
         }
+        if (end.region != m_owner.config().instance.region) {
+            co_await m_owner.pace(end.region, traffic, core::direction::in, f->payload.size());
+        }
         if (whole) {
             m_owner.links().give_back(end.peer, end.link);
             co_return true;
--- a/src/balsampostd/forwarder.cpp
+++ b/src/balsampostd/forwarder.cpp
@@ -31,7 +31,7 @@
 } // namespace
 
 forwarder::forwarder(traffic& owner, entry_request& request, net::tcp::socket& caller,
-                     std::function<awaitable<bool>(net::link&)> send_rest)
+                     std::function<awaitable<bool>(net::link&, const std::string&)> send_rest)
     : m_owner(owner), m_request(request), m_caller(caller), m_send_rest(std::move(send_rest)) {}
 
 std::optional<forwarder::target> forwarder::home_of(const core::cell_table&,
@@ -41,7 +41,7 @@
     if (at == view.instances.end()) {
         return std::nullopt;
     }
-    return target{row.home, at->second.data(), row.name, 0, {}};
+    return target{row.home, at->second.data(), at->second.region, row.name, 0, {}};
 }
 
 std::optional<forwarder::target> forwarder::keyed_target() const {
@@ -102,8 +102,34 @@
     return m_request.service->divided_by_key ? keyed_target() : unkeyed_target();
 }
 
+/// False if the budget between the regions leaves no room before the deadline.
+awaitable<bool> forwarder::wait_for_budget(const target& to) {
+    if (to.region == m_owner.config().instance.region) {
+        co_return true;
+    }
+    for (;;) {
+        const auto out = m_owner.budget().delay(to.region, m_request.traffic, core::direction::out, now());
+        const auto in = m_owner.budget().delay(to.region, m_request.traffic, core::direction::in, now());
+        const auto wait = std::max(out, in);
+        if (wait == core::duration::zero()) {
+            const auto bytes = m_request.head.body.size() + m_request.head.target.size();
+            m_owner.budget().charge(to.region, m_request.traffic, core::direction::out, bytes, now());
+            co_return true;
+        }
+        if (now() + wait >= m_request.deadline) {
+            co_return false;
+        }
+        co_await net::wait_for(wait);
+    }
+}
+
 awaitable<forwarder::attempt_end> forwarder::attempt(target to) {
     attempt_end end;
+    if (!co_await wait_for_budget(to)) {
+        end.result.refused = core::refusal_reason::budget;
+        end.result.detail = "the budget towards region " + to.region + " is used up";
+        co_return end;
+    }
     end.result.refused = core::refusal_reason::server_unreachable;
     auto link = co_await m_owner.links().take(to.data, std::min(m_request.deadline, now() + connect_time));
     if (!link) {
@@ -153,7 +179,7 @@
         }
         if (f->type == net::frame_type::go_ahead && !m_rest_used && !m_request.head.whole_body) {
             m_rest_used = true;
-            if (!co_await m_send_rest(*link)) {
+            if (!co_await m_send_rest(*link, to.region)) {
                 link->close();
                 end.result.detail = "the request body ended early";
                 co_return end;
@@ -183,6 +209,11 @@
         m_owner.choice().heard_load(to.server, answer->load_permille, now());
         end.answered = true;
         end.result.peer = to.data;
+        end.result.region = to.region;
+        if (to.region != m_owner.config().instance.region) {
+            m_owner.budget().charge(to.region, m_request.traffic, core::direction::in, answer->body.size(),
+                                    now());
+        }
         if (answer->whole_body) {
             m_owner.links().give_back(to.data, link);
         } else {
--- a/src/balsampostd/forwarder.h
+++ b/src/balsampostd/forwarder.h
@@ -11,6 +11,7 @@
     net::request_head head; ///< Complete but for the target of the attempt.
     const core::service* service = nullptr;
     std::string key;
+    core::traffic_class traffic = core::traffic_class::read;
     core::time_point deadline;
     std::shared_ptr<const core::object_set> objects; ///< Keeps `service` alive.
 };
@@ -20,6 +21,7 @@
     std::optional<net::answer_head> answer;
     net::link_ptr link; ///< Set with an answer whose body is not whole, else null.
     core::endpoint peer;
+    std::string region; ///< Of the home that answered.
     core::refusal_reason refused = core::refusal_reason::no_owner;
     std::string detail;
 };
@@ -29,7 +31,7 @@
     /// `send_rest` streams the rest of the body over the link; it is called at most once. `caller` is watched
     /// while an answer is awaited.
     forwarder(traffic& owner, entry_request& request, net::tcp::socket& caller,
-              std::function<net::awaitable<bool>(net::link&)> send_rest);
+              std::function<net::awaitable<bool>(net::link&, const std::string& region)> send_rest);
 
     net::awaitable<forwarded> run();
 
@@ -37,6 +39,7 @@
     struct target {
         core::instance_id home;
         core::endpoint data;
+        std::string region;
         std::string server;
         std::uint32_t slice = 0;
         core::epoch since;
@@ -52,6 +55,7 @@
     std::optional<target> keyed_target() const;
     std::optional<target> unkeyed_target();
     std::optional<target> home_of(const core::cell_table& table, const core::server_row& row) const;
+    net::awaitable<bool> wait_for_budget(const target& to);
     net::awaitable<attempt_end> attempt(target to);
     net::awaitable<attempt_end> read_reply(target to, net::link_ptr link);
     bool may_repeat(const attempt_end& end) const;
@@ -60,7 +64,7 @@
     traffic& m_owner;
     entry_request& m_request;
     net::tcp::socket& m_caller;
-    std::function<net::awaitable<bool>(net::link&)> m_send_rest;
+    std::function<net::awaitable<bool>(net::link&, const std::string&)> m_send_rest;
     std::vector<std::string> m_tried;
     std::uint32_t m_repeats = 0;
     bool m_rest_used = false;
--- a/src/balsampostd/metrics.cpp
+++ b/src/balsampostd/metrics.cpp
@@ -40,6 +40,8 @@
       servers_homed(gauge(*r, "balsampost_servers_homed", "Servers this instance is the home of")),
       ownership_moves(gauge(*r, "balsampost_ownership_moves", "Changes of slice ownership made here")),
       config_version(gauge(*r, "balsampost_config_version", "Version of the objects in force here")),
+      region_bytes(
+          gauge(*r, "balsampost_region_bytes", "Bytes charged to the regional budgets by this entry")),
       m_registry(r), m_latency(prometheus::BuildHistogram()
                                    .Name("balsampost_request_seconds")
                                    .Help("Time from a request's header to the end of its answer")
--- a/src/balsampostd/metrics.h
+++ b/src/balsampostd/metrics.h
@@ -40,6 +40,7 @@
     prometheus::Gauge& servers_homed;
     prometheus::Gauge& ownership_moves;
     prometheus::Gauge& config_version;
+    prometheus::Gauge& region_bytes;
 
 private:
     explicit metrics(std::shared_ptr<prometheus::Registry> registry);
--- a/src/balsampostd/traffic.cpp
+++ b/src/balsampostd/traffic.cpp
@@ -92,6 +92,7 @@
 void traffic::consume(traffic_order& order) {
     if (const auto* next = std::get_if<view_ptr>(&order)) {
         m_view = *next;
+        update_budget();
         m_view_changed.notify_all();
     } else if (const auto* homes = std::get_if<homes_update>(&order)) {
         update_homes(*homes);
@@ -108,6 +109,24 @@
     }
 }
 
+void traffic::update_budget() {
+    if (m_view->objects == m_budget_objects && m_view->members == m_budget_members) {
+        return;
+    }
+    m_budget_objects = m_view->objects;
+    m_budget_members = m_view->members;
+    m_budget.update(*m_view->objects, *m_view->members, m_settings.instance.region, now());
+}
+
+awaitable<void> traffic::pace(std::string region, core::traffic_class c, core::direction d,
+                              std::uint64_t bytes) {
+    m_budget.charge(region, c, d, bytes, now());
+    const auto wait = m_budget.delay(region, c, d, now());
+    if (wait > core::duration::zero()) {
+        co_await net::wait_for(wait);
+    }
+}
+
 void traffic::update_homes(const homes_update& update) {
     auto& gates = m_gates[update.cell];
     const auto service = m_view->objects->services.find(update.cell.service);
@@ -198,6 +217,7 @@
         m_metrics.queued.Set(static_cast<double>(waiting));
         m_metrics.running.Set(static_cast<double>(running));
         m_metrics.callers.Set(m_open_callers);
+        m_metrics.region_bytes.Set(static_cast<double>(m_budget.charged()));
         if (now() >= next_loads) {
             next_loads += load_interval;
             send_loads();
--- a/src/balsampostd/traffic.h
+++ b/src/balsampostd/traffic.h
@@ -9,6 +9,7 @@
 #include "settings.h"
 #include "shared.h"
 
+#include "balsampost/core/region_budget.h"
 #include "balsampost/core/retry_budget.h"
 #include "balsampost/net/link.h"
 #include "balsampost/net/signal.h"
@@ -47,6 +48,10 @@
     metrics& measured() { return m_metrics; }
     net::link_pool& links() { return m_links; }
     core::retry_budget& retries() { return m_retries; }
+    core::region_budget& budget() { return m_budget; }
+    /// Counts bytes to or from `region` and waits until more may follow.
+    net::awaitable<void> pace(std::string region, core::traffic_class c, core::direction d,
+                              std::uint64_t bytes);
     server_choice& choice() { return m_choice; }
     std::mt19937_64& random() { return m_random; }
     /// Returns when the view has changed, or at `deadline`.
@@ -66,6 +71,7 @@
     net::awaitable<void> every_tick();
     void update_homes(const homes_update& update);
     void send_loads();
+    void update_budget();
 
     const settings& m_settings;
     core::instance_id m_self;
@@ -83,6 +89,9 @@
     std::unordered_set<std::string> m_seen; // Ids of non-idempotent requests, bounded by m_seen_order.
     std::deque<std::string> m_seen_order;
     core::retry_budget m_retries;
+    core::region_budget m_budget;
+    std::shared_ptr<const core::object_set> m_budget_objects; // What m_budget was last made from.
+    std::shared_ptr<const core::member_list> m_budget_members;
     server_choice m_choice;
     std::mt19937_64 m_random;
     core::request_number m_next_number = 0;
--- a/testsuite/run.sh
+++ b/testsuite/run.sh
@@ -8,6 +8,7 @@
 export BIN=$BUILD/src
 RESULTS=$(mktemp -d)
 PARALLEL=4
+CASE_SECONDS=180 # A hung case fails; none comes near this.
 passed=0
 failed=0
 
@@ -28,7 +29,7 @@
 fi
 
 run_case() { # CASE NUMBER
-    RUN_DIR=$RESULTS/$1 OCTET=$((30 + $2)) bash "testsuite/$1/run.sh" > "$RESULTS/$1.out" 2> "$RESULTS/$1.err"
+    RUN_DIR=$RESULTS/$1 OCTET=$((30 + $2)) timeout "$CASE_SECONDS" bash "testsuite/$1/run.sh" > "$RESULTS/$1.out" 2> "$RESULTS/$1.err"
     if diff -u "testsuite/$1/expected.txt" "$RESULTS/$1.out" > "$RESULTS/$1.diff"; then
         echo passed > "$RESULTS/$1.result"
     else
