--- a/src/balsampost_load/runner.cpp
+++ b/src/balsampost_load/runner.cpp
@@ -84,11 +84,7 @@
     while (!idle.empty()) {
         auto connection = std::move(idle.back());
         idle.pop_back();
-        error_code ec;
-        char byte = 0;
-        connection->stream.socket().non_blocking(true, ec);
-        connection->stream.socket().receive(net::asio::buffer(&byte, 1), net::tcp::socket::message_peek, ec);
-        if (ec == net::asio::error::would_block) {
+        if (net::is_quiet(connection->stream.socket())) {
             co_return connection;
         }
     }
--- a/src/balsampostd/server_gate.cpp
+++ b/src/balsampostd/server_gate.cpp
@@ -16,15 +16,6 @@
     return {config.slots, config.queue_requests, config.queue_bytes};
 }
 
-/// Whether nothing is to be read and the server has not closed.
-bool is_quiet(net::tcp::socket& socket) {
-    net::error_code ec;
-    char byte = 0;
-    socket.non_blocking(true, ec);
-    socket.receive(net::asio::buffer(&byte, 1), net::tcp::socket::message_peek, ec);
-    return ec == net::asio::error::would_block;
-}
-
 } // namespace
 
 server_gate::server_gate(core::cell_id cell, std::string server, core::endpoint location,
@@ -155,7 +146,7 @@
     while (!m_idle.empty()) {
         auto connection = std::move(m_idle.back());
         m_idle.pop_back();
-        if (is_quiet(connection->stream.socket())) {
+        if (net::is_quiet(connection->stream.socket())) {
             co_return connection;
         }
         drop(std::move(connection));
--- a/src/include/balsampost/net/asio.h
+++ b/src/include/balsampost/net/asio.h
@@ -59,6 +59,9 @@
     });
 }
 
+/// Whether nothing is to be read from `socket` and the other side has not closed it.
+bool is_quiet(tcp::socket& socket);
+
 /// Binds a socket to `at` that refuses connections until `listen` is called on it.
 tcp::acceptor bind_to(asio::io_context& context, const core::endpoint& at);
 
--- a/src/include/balsampost/net/link.h
+++ b/src/include/balsampost/net/link.h
@@ -32,12 +32,6 @@
     void close();
     bool is_open() const { return m_stream.socket().is_open(); }
 
-    /// Runs `on_close` when the other side closes while no read is under way; ends with the next read.
-    awaitable<bool> wait_readable();
-    /// True if nothing is to be read and the other side has not closed.
-    bool is_quiet();
-    void cancel_wait();
-
     const core::instance_id& peer() const { return m_peer; }
     void set_peer(core::instance_id id) { m_peer = std::move(id); }
     core::time_point last_used() const { return m_last_used; }
--- a/src/libbalsampost_net/asio.cpp
+++ b/src/libbalsampost_net/asio.cpp
@@ -10,6 +10,17 @@
     co_await timer.async_wait(into(ec));
 }
 
+bool is_quiet(tcp::socket& socket) {
+    error_code ec;
+    char byte = 0;
+    if (!socket.is_open()) {
+        return false;
+    }
+    socket.non_blocking(true, ec);
+    socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, ec);
+    return ec == asio::error::would_block;
+}
+
 tcp::acceptor bind_to(asio::io_context& context, const core::endpoint& at) {
     tcp::acceptor acceptor(context);
     const auto where = to_tcp(at);
--- a/src/libbalsampost_net/link.cpp
+++ b/src/libbalsampost_net/link.cpp
@@ -76,28 +76,6 @@
     m_stream.socket().close(ec);
 }
 
-awaitable<bool> link::wait_readable() {
-    error_code ec;
-    co_await m_stream.socket().async_wait(tcp::socket::wait_read, into(ec));
-    co_return !ec;
-}
-
-bool link::is_quiet() {
-    error_code ec;
-    char byte = 0;
-    if (!m_stream.socket().is_open()) {
-        return false;
-    }
-    m_stream.socket().non_blocking(true, ec);
-    m_stream.socket().receive(asio::buffer(&byte, 1), tcp::socket::message_peek, ec);
-    return ec == asio::error::would_block;
-}
-
-void link::cancel_wait() {
-    error_code ec;
-    m_stream.socket().cancel(ec);
-}
-
 awaitable<core::result<link_ptr>> connect_link(core::endpoint to, const link_identity& identity,
                                                link_traffic& traffic, core::time_point deadline) {
     const auto executor = co_await asio::this_coro::executor;
@@ -179,7 +157,7 @@
     while (!m_idle[to].empty()) {
         auto l = m_idle[to].back();
         m_idle[to].pop_back();
-        if (!l->is_quiet()) {
+        if (!is_quiet(l->stream().socket())) {
             l->close();
             continue;
         }
