--- a/src/include/balsampost/core/key_coordinator.h
+++ b/src/include/balsampost/core/key_coordinator.h
@@ -25,10 +25,11 @@
 namespace balsampost::core {
 
 struct coordinator_settings {
-    milliseconds tenure{2'000};       ///< Orders stop this long after the last renewal that succeeded was sent.
-    milliseconds renew_tenure{500};   ///< A quarter of the tenure: one lost answer is survived.
+    milliseconds tenure{1'800};       ///< Orders stop this long after the last renewal that succeeded was sent.
+    milliseconds renew_tenure{450};   ///< A quarter of the tenure: one lost answer is survived.
     milliseconds takeover_margin{150}; ///< Beyond the tenure, for clocks of unequal speed.
-    milliseconds hold{2'500};         ///< Of a grant in calm times: keys of a silent server are free after it.
+    milliseconds hold{3'000};         ///< Of a grant in calm times: keys of a silent server are free after it. Longer
+                                      ///< than it takes to miss a coordinator and take its place.
     milliseconds longest_hold{10'000}; ///< Of a grant while the store falters; the servers' bound.
     milliseconds renew_hold{800};     ///< A third of the hold: two lost answers are survived.
     double clock_drift = 0.02;        ///< A server's clock may run slow by this part.
@@ -36,9 +37,12 @@
     milliseconds faltering{350};      ///< A renewal without an answer for this long: the store falters.
     milliseconds settle{1'200};       ///< The list of servers must not have grown for this long before the first plan.
     milliseconds latest_start{4'000}; ///< The first plan is made then at the latest.
-    milliseconds plan_pause{700};     ///< Between plans that move keys for load; a plan's effect must show first.
+    milliseconds plan_pause{400};     ///< Between plans that move keys for load; a plan's effect must show first.
+    milliseconds settle_pause{1'000}; ///< A completed move may be in the store this much later: a successor only
+                                      ///< releases once more what was released.
     milliseconds retry_order{150};    ///< Before an order without an answer is sent again.
-    milliseconds poll_tenure{600};    ///< Between looks at another holder's tenure.
+    milliseconds poll_tenure{600};    ///< Between looks at another holder's tenure, if it is not heard.
+    milliseconds unheard{1'200};      ///< A holder that was not heard for this long is looked for in the store.
 };
 
 struct tenure_record {
@@ -57,6 +61,8 @@
 struct write_table {
     key_table table;
     std::uint64_t if_revision = 0;
+    std::size_t moves = 0; ///< That are new in it.
+    load_summary load;     ///< What they were decided by.
 };
 struct send_grant {
     std::uint64_t order = 0;
@@ -116,6 +122,15 @@
     bool leads(time_point now) const { return m_holds_tenure && now < m_authority_until; }
     std::uint64_t term() const { return m_term; }
     const key_table& table() const { return m_table; }
+    /// The table with the moves that are complete, which the store's need not show yet.
+    const key_table& view() const { return m_view; }
+    std::uint64_t view_revision() const { return m_table_revision; }
+    std::uint64_t view_settled() const { return m_settled; }
+    /// The holder as it was last seen; null if nothing is known.
+    const tenure_record* tenure() const { return m_tenure ? &*m_tenure : nullptr; }
+    std::uint64_t tenure_revision() const { return m_tenure_revision; }
+    /// The holder itself said that its record has this revision.
+    void tenure_heard(std::uint64_t revision, time_point now);
     /// Gives the tenure up, for a planned stop; nothing is ordered after it.
     std::optional<write_tenure> resign(time_point now);
     /// Whether grants of `which` on any key may still run at `now`.
@@ -157,6 +172,7 @@
     void due(time_point at) { m_next_due = std::min(m_next_due, at); }
     void forget_holds(const incarnation& which, shard_key from, shard_key to);
     void adopt(key_table table, std::uint64_t revision);
+    void settle(const key_run& run, time_point now);
     void begin_tenure();
     void lose_authority();
     void keep_states();
@@ -174,7 +190,7 @@
     std::set<incarnation> m_ended;                 // Their processes have ended; they hold nothing.
     std::set<std::string> m_ended_instances;
     std::set<incarnation> m_lapsed;                // Silent until their grants ran out, though still listed.
-    std::map<std::string, double> m_service_ms;    // By server id, of instances' reports.
+    server_speeds m_speeds;
     time_point m_list_grew = never;
 
     // Tenure.
@@ -196,6 +212,9 @@
     bool m_table_known = false;
     std::uint64_t m_table_revision = 0; // 0: there is none.
     key_table m_table;                  // As committed.
+    key_table m_view;
+    std::uint64_t m_settled = 0;       // Moves completed since m_table was committed.
+    time_point m_settle_at = never;    // The store's table is to show them then; `never` if there are none.
     key_table m_draft;                  // As being written.
     bool m_table_call = false;
     time_point m_table_again = never;
--- a/src/include/balsampost/core/key_load.h
+++ b/src/include/balsampost/core/key_load.h
@@ -4,10 +4,10 @@
 
 #include "balsampost/core/key_table.h"
 
-#include <array>
 #include <map>
 #include <string>
 #include <unordered_map>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -15,52 +15,76 @@
 
 namespace balsampost::core {
 
-/// Keys are counted in bins of neighbours: a hot spot lies in a few bins, and a cut at a bin's edge is close enough.
-inline constexpr shard_key keys_per_bin = 16;
-inline constexpr std::uint32_t bin_count = key_count / keys_per_bin;
-
-constexpr std::uint32_t bin_of(shard_key key) {
-    return key / keys_per_bin;
-}
+/// Neighbours that are looked at together: a hot spot shows in their sum before it shows in any one key.
+inline constexpr shard_key keys_per_group = 16;
 
 /// What one instance saw since its last report.
 struct key_report {
     std::string service;
-    std::uint32_t period_ms = 0;
-    std::vector<std::pair<std::uint32_t, std::uint32_t>> bins;      ///< Bin and requests; the busiest, bounded.
-    std::uint32_t unlisted = 0;                                     ///< Requests in bins beyond the bound.
-    std::vector<std::pair<std::string, std::uint32_t>> service_ms;  ///< Server id, time of one request there.
+    std::vector<std::pair<shard_key, std::uint32_t>> keys; ///< Key and requests; the busiest, bounded.
+    std::uint32_t unlisted = 0;                            ///< Requests for keys beyond the bound.
+    std::vector<std::tuple<std::string, std::uint32_t, std::uint32_t>> service_ms; ///< Server id, answers, their time
+                                                                                   ///< in all, without waiting.
     std::vector<std::string> unreachable;                           ///< Ids of servers that refused a connection.
 
-    MSGPACK_DEFINE(service, period_ms, bins, unlisted, service_ms, unreachable);
+    MSGPACK_DEFINE(service, keys, unlisted, service_ms, unreachable);
 };
 
-/// Counts requests by bin until they are reported.
+/// Counts requests by key until they are reported.
 class key_counter {
 public:
-    void count(shard_key key) { ++m_counts[bin_of(key)]; }
+    void count(shard_key key) { ++m_counts[key]; }
     bool empty() const { return m_counts.empty(); }
-    /// Moves the counts of at most `most` bins into `report`.
+    /// Moves the counts of at most `most` keys into `report`.
     void take(key_report& report, std::size_t most);
 
 private:
     std::unordered_map<std::uint32_t, std::uint32_t> m_counts;
 };
 
-/// Requests a second by bin, weighted to the last seconds.
+/// Requests a second by key. Two memories: a long one against noise, and a short one that shows a hot spot as soon as
+/// it stands out. Sums over ranges are exact for each key, so that one key's load is not taken for its neighbours'.
 class key_rates {
 public:
-    void add(const key_report& report);
-    /// Ages the rates to `now`; call it before reading.
+    void add(const key_report& report, time_point now);
+    /// Works the rates out as of `now`; call it before reading.
     void advance(time_point now);
     /// Requests a second for keys `from` to `to`, both inclusive.
     double rate(shard_key from, shard_key to) const;
-    double of_bin(std::uint32_t bin) const { return m_rates[bin]; }
-    double total() const;
 
 private:
-    std::array<double, bin_count> m_rates{};
-    time_point m_aged = never;
+    /// Weighted counts that forget exponentially: each is kept in units that grow with time, so that only reading
+    /// and adding cost anything.
+    struct memory {
+        explicit memory(std::chrono::duration<double> l) : length(l) {}
+        void add(shard_key key, double requests);
+        void move_to(time_point now);
+        double rate(shard_key key) const { return counts.empty() ? 0.0 : counts[key] / unit / length.count(); }
+
+        std::chrono::duration<double> length;
+        std::vector<double> counts; // Empty until the first report.
+        double unit = 1;            // What one request counts now.
+        time_point at = never;
+    };
+
+    memory m_long{std::chrono::duration<double>(2.0)};
+    memory m_short{std::chrono::duration<double>(0.35)};
+    std::vector<double> m_sums; // m_sums[k]: rate of all keys below k; empty: all 0.
+};
+
+/// Time that each server takes for one request, from the answers that instances report.
+class server_speeds {
+public:
+    void add(const key_report& report);
+    /// Of `server`; the mean of all known ones, or `assumed`, if nothing is known of it.
+    double service_ms(const std::string& server, double assumed) const;
+
+private:
+    struct state {
+        double ms = 0;
+        double answers = 0; // Weight of `ms`, bounded.
+    };
+    std::map<std::string, state> m_servers;
 };
 
 } // namespace balsampost::core
--- a/src/include/balsampost/core/key_plan.h
+++ b/src/include/balsampost/core/key_plan.h
@@ -22,10 +22,29 @@
     double hot_utilization = 0.6;
     /// A server whose share of the keys is below this part of a fair one is given more.
     double joined_share = 0.25;
+    /// A key with this part of its owner's capacity is placed by itself.
+    double large_key = 0.15;
+    /// A move must bring its taker no further than this part of the load that the owner has now.
+    double relief = 0.85;
+    /// Room below this part of a server's fair load is not worth a move.
+    double least_room = 0.05;
     std::size_t most_moves = 24; ///< In one batch; each is an order to two servers.
     std::size_t most_runs = 512; ///< Hot spots are not cut any further beyond this.
 };
 
+/// How the load lies on the servers: what a plan is decided by.
+struct load_summary {
+    double total = 0;            ///< Requests a second.
+    double mean_utilization = 0; ///< Load over capacity, of all servers together.
+    double most_utilization = 0; ///< Of the server that has the most.
+    incarnation hottest;
+    double hottest_capacity = 0; ///< Requests a second that the hottest can run.
+    double most_capacity = 0;    ///< The same of the fastest server.
+    shard_key busiest_key = 0;   ///< Of the hottest's keys.
+    double busiest_rate = 0;     ///< Its requests a second.
+};
+load_summary summarize(const key_table& table, const std::vector<key_server>& servers, const key_rates& rates);
+
 /// The first owners: one run a server, by capacity.
 std::vector<key_move> first_owners(const std::vector<key_server>& servers);
 
--- a/src/include/balsampost/core/server_selection.h
+++ b/src/include/balsampost/core/server_selection.h
@@ -15,6 +15,8 @@
 
 enum class nearness : std::uint8_t { same_domain, same_region, other_region };
 
+const char* to_string(nearness n);
+
 /// A server's own account of its load, as a response carries it.
 struct load_report {
     std::uint32_t running = 0;
@@ -43,9 +45,14 @@
     double most_load_per_slot = 3.0;
     /// Time after which half of what others were reported to send to a server is forgotten.
     milliseconds report_half_life{400};
+    /// Time after which half of what was learned of a server is forgotten, if it is asked nothing.
+    milliseconds learned_half_life{1'000};
     /// First time that a server is left alone after it could not be reached or fell silent; doubled each time.
     milliseconds first_rest{300};
     milliseconds longest_rest{2'000};
+    /// Part of the target latency that the expected finish may take: an answer takes longer than expected as often as
+    /// not.
+    double target_part = 0.85;
     /// Part of a request's time that the expected finish may take; the rest is for what the expectation does not know.
     double limit_part = 0.85;
     /// A leaving server still serves keys that it owns for this long, while they are moved.
@@ -91,6 +98,14 @@
     /// Expected time of one request at a server without load.
     milliseconds service_time(const std::string& server) const;
     double failure_rate(const std::string& server) const;
+    nearness where(const std::string& server) const;
+    /// Answers of each server since the last call and their time in all, without waiting.
+    struct speed_sample {
+        std::string server;
+        std::uint32_t answers = 0;
+        double total_ms = 0;
+    };
+    std::vector<speed_sample> take_samples();
     bool resting(const std::string& server, time_point now) const;
 
 private:
@@ -102,15 +117,22 @@
         time_point reported_at = never;
         double service_ms = 0;        // Of one request without waiting; 0: nothing learned.
         double failures = 0;          // Share of failed attempts, weighted to the last ones.
+        std::uint32_t samples = 0;    // Answers since they were last taken, and their time.
+        double sampled_ms = 0;
+        std::uint32_t answers = 0;    // In all.
         std::uint32_t misses = 0;     // Attempts in a row that could not reach it or had no answer.
         time_point rests_until = never;
+        time_point last_ended = never; // Of the last attempt: what was learned counts less and less after it.
     };
 
+    double service_ms_of(const state& s, time_point now) const;
+    double kept(const state& s, time_point now) const;
     double load(const state& s, time_point now) const;
-    double expected_ms(const state& s, time_point now) const;
+    /// `choosing`: among several; the one owner of a key is not made dearer by its failures.
+    double expected_ms(const state& s, time_point now, bool choosing) const;
     double cost_ms(const state& s, double expected, const selection_request& request) const;
     double mean_service_ms() const;
-    double allowed_ms(const state& s, const selection_request& request) const;
+    double allowed_ms(const state& s, const selection_request& request, time_point now) const;
     bool has_room(const state& s, time_point now) const;
     milliseconds time_until_room(const state& s, double expected, double allowed) const;
 
--- a/src/include/balsampost/entry/entry.h
+++ b/src/include/balsampost/entry/entry.h
@@ -6,13 +6,12 @@
 #include "balsampost/entry/key_service.h"
 #include "balsampost/entry/kind_watch.h"
 #include "balsampost/entry/page_server.h"
+#include "balsampost/entry/peer_exchange.h"
 #include "balsampost/entry/platform.h"
 #include "balsampost/entry/settings.h"
 
-#include <boost/asio/ip/udp.hpp>
 #include <boost/asio/signal_set.hpp>
 
-#include <array>
 #include <memory>
 
 namespace balsampost::entry {
@@ -32,13 +31,16 @@
     void start_watches();
     void directory_settled();
     void manifest_arrived(const stored_object& object);
-    void table_arrived(const stored_object& object);
     void backend_arrived(const stored_object& object);
     void update_key_services();
     void arm_directory_expiry();
-    void send_reports();
-    void receive_report();
-    void report_received(std::size_t size);
+    void take_table(const std::string& service, const table_version& version, core::key_table table);
+    void report_loads();
+    core::key_report load_report_of(const std::string& name, service_state& service);
+    void read_table(const std::string& service);
+    void tell_all(const std::string& service);
+    void reported(const peer_report& report, const core::endpoint& from);
+    void told(const peer_news& news);
     void wait_for_signal();
     void begin_stop();
     void finish_stop();
@@ -57,18 +59,25 @@
     caller_listener m_callers;
     page_server m_readiness;
     page_server m_metrics;
-    net::asio::ip::udp::socket m_reports;
-    std::array<char, 16'384> m_report_buffer{};
-    net::asio::ip::udp::endpoint m_report_from;
+    peer_exchange m_peers;
     net::asio::signal_set m_signals;
     std::string m_run; // The id of this run of the daemon.
     std::shared_ptr<kind_watch> m_backend_watch;
     std::shared_ptr<kind_watch> m_manifest_watch;
-    std::shared_ptr<kind_watch> m_table_watch;
     std::map<std::string, std::shared_ptr<key_service>> m_key_services;
-    std::map<std::string, std::shared_ptr<const core::key_table>> m_tables;
-    std::map<std::string, core::time_point> m_reporters; // Instances that reported here, and when.
-    core::time_point m_last_report{};
+    /// What is known of a keyed service's owners.
+    struct known_table {
+        table_version version;
+        std::shared_ptr<const core::key_table> table;
+        core::time_point heard = core::never; // When its coordinator last sent news.
+        core::time_point read_at = core::never; // When it was last looked for in the store.
+    };
+    std::map<std::string, known_table> m_tables;
+    struct reporter {
+        core::endpoint at;
+        core::time_point last;
+    };
+    std::map<std::string, reporter> m_reporters; // Instances that report here, by name.
     std::uint64_t m_manifest_version = 0;
     bool m_expiry_armed = false;
     bool m_stopping = false;
--- a/src/include/balsampost/entry/key_service.h
+++ b/src/include/balsampost/entry/key_service.h
@@ -5,6 +5,7 @@
 #include "balsampost/core/key_coordinator.h"
 #include "balsampost/entry/entry_metrics.h"
 #include "balsampost/entry/http_client.h"
+#include "balsampost/entry/peer_exchange.h"
 #include "balsampost/entry/platform.h"
 #include "balsampost/entry/timers.h"
 
@@ -25,6 +26,17 @@
 
     void update_servers(const std::vector<const core::backend*>& listed);
     void report(const core::key_report& r);
+    /// The holder's news reached this instance.
+    void heard(std::uint64_t tenure_revision);
+    /// Where the holder of the tenure takes reports; port 0 if none is known.
+    core::endpoint holder_at() const;
+    bool holder_is_self() const;
+    /// What the coordinator tells; the table only if `known` is older.
+    peer_news news(const table_version& known) const;
+    table_version version() const { return {m_coordinator.view_revision(), m_coordinator.view_settled()}; }
+    const core::key_table& table() const { return m_coordinator.view(); }
+    /// Called when this instance leads and its table has changed.
+    void on_table(std::function<void()> action) { m_on_table = std::move(action); }
     /// Runs what is due and sets the next timer.
     void step();
     void stop() { m_stopped = true; }
@@ -59,6 +71,8 @@
     bool m_again = false;
     bool m_stopped = false;
     bool m_led = false;
+    std::function<void()> m_on_table;
+    table_version m_told; // What m_on_table was last called for.
 };
 
 /// The id of one run of the daemon, and the name that all its runs share.
--- /dev/null
+++ b/src/include/balsampost/entry/peer_exchange.h
@@ -0,0 +1,74 @@
+// Datagrams between instances: reports of keyed load to a coordinator, and its news to all who report. Either may be
+// lost; the next one makes up for it, and the store has what must last.
+#pragma once
+
+#include "balsampost/core/key_load.h"
+#include "balsampost/core/key_table.h"
+#include "balsampost/net/asio.h"
+
+#include <boost/asio/ip/udp.hpp>
+
+#include <functional>
+#include <string>
+#include <tuple>
+#include <vector>
+
+namespace balsampost::entry {
+
+/// Which table of a service is the newer: by the store's revision, then by what was settled since.
+struct table_version {
+    std::uint64_t revision = 0;
+    std::uint64_t settled = 0;
+
+    auto operator<=>(const table_version&) const = default;
+    MSGPACK_DEFINE(revision, settled);
+};
+
+struct peer_report {
+    std::string instance; ///< Name of the sender.
+    core::key_report keys;
+    table_version known; ///< The table that the sender has.
+
+    MSGPACK_DEFINE(instance, keys, known);
+};
+
+struct peer_news {
+    std::string service;
+    std::uint64_t tenure_revision = 0; ///< Of the coordinator's last renewal that succeeded.
+    std::uint32_t instances = 0;       ///< That report to it, itself included.
+    table_version version;
+    std::string table; ///< Packed; empty if the receiver has it.
+
+    MSGPACK_DEFINE(service, tenure_revision, instances, version, table);
+};
+
+/// A compact form of a key table, for one datagram.
+std::string pack(const core::key_table& table);
+core::result<core::key_table> unpack_table(const std::string& bytes);
+
+class peer_exchange {
+public:
+    struct handlers {
+        std::function<void(const peer_report&, const core::endpoint& from)> reported;
+        std::function<void(const peer_news&)> told;
+    };
+
+    peer_exchange(net::asio::io_context& context, handlers h) : m_socket(context), m_handlers(std::move(h)) {}
+
+    /// Throws `boost::system::system_error` if the address is not to be had.
+    void start(const core::endpoint& at);
+    void send(const core::endpoint& to, const peer_report& report);
+    void send(const core::endpoint& to, const peer_news& news);
+
+private:
+    void receive();
+    void received(std::size_t size);
+    void send_bytes(const core::endpoint& to, const char* data, std::size_t size);
+
+    net::asio::ip::udp::socket m_socket;
+    handlers m_handlers;
+    std::vector<char> m_buffer;
+    net::asio::ip::udp::endpoint m_from;
+};
+
+} // namespace balsampost::entry
--- a/src/libbalsampost_core/key_coordinator.cpp
+++ b/src/libbalsampost_core/key_coordinator.cpp
@@ -67,12 +67,8 @@
 }
 
 void key_coordinator::report(const key_report& r, time_point now) {
-    m_rates.advance(now);
-    m_rates.add(r);
-    for (const auto& [id, ms] : r.service_ms) {
-        auto& known = m_service_ms[id];
-        known = known <= 0 ? ms : known + 0.2 * (ms - known);
-    }
+    m_rates.add(r, now);
+    m_speeds.add(r);
 }
 
 bool key_coordinator::fit(const incarnation& which) const {
@@ -86,8 +82,7 @@
         if (!fit(id)) {
             continue;
         }
-        const auto speed = m_service_ms.find(id.id);
-        const double ms = speed == m_service_ms.end() ? assumed_service_ms : std::max(1.0, speed->second);
+        const double ms = m_speeds.service_ms(id.id, assumed_service_ms);
         out.push_back({id, std::max<std::uint32_t>(b.slots, 1) * 1000.0 / ms});
     }
     return out;
@@ -126,6 +121,17 @@
     }
 }
 
+void key_coordinator::tenure_heard(std::uint64_t revision, time_point now) {
+    if (m_holds_tenure || !m_tenure_known || revision < m_tenure_revision) {
+        return;
+    }
+    if (revision > m_tenure_revision) {
+        m_tenure_revision = revision;
+        m_tenure_seen = now;
+    }
+    m_poll_at = std::max<time_point>(m_poll_at, now + m_settings.unheard);
+}
+
 void key_coordinator::tenure_read_failed(time_point now) {
     m_tenure_call = false;
     m_poll_at = now + retry_store;
@@ -267,7 +273,28 @@
 void key_coordinator::adopt(key_table table, std::uint64_t revision) {
     m_table = std::move(table);
     m_table_revision = revision;
+    m_settled = 0;
+    m_settle_at = never;
     keep_states();
+    m_view = m_table;
+    for (auto& run : m_view.runs) {
+        const auto s = m_runs.find({run.from, run.to, run.fence});
+        if (s != m_runs.end() && s->second.granted) {
+            run.previous.clear();
+        }
+    }
+}
+
+void key_coordinator::settle(const key_run& run, time_point now) {
+    for (auto& r : m_view.runs) {
+        if (r.from == run.from && r.fence == run.fence && r.moving()) {
+            r.previous.clear();
+            ++m_settled;
+            if (m_settle_at == never) {
+                m_settle_at = now + m_settings.settle_pause;
+            }
+        }
+    }
 }
 
 void key_coordinator::keep_states() {
@@ -351,8 +378,9 @@
         out.emplace_back(read_table{});
         return;
     }
-    auto draft = m_table;
+    auto draft = m_view;
     bool changed = !m_claimed;
+    std::size_t planned = 0;
     if (draft.runs.empty()) {
         const auto servers = owners();
         const auto settled = m_list_grew == never ? m_started + m_settings.latest_start
@@ -368,15 +396,12 @@
         apply_moves(draft, first_owners(servers));
         changed = true;
     } else {
-        // Moves whose previous holders are out of the way need not say so any longer.
-        for (auto& run : draft.runs) {
-            const auto s = m_runs.find({run.from, run.to, run.fence});
-            if (run.moving() && s != m_runs.end() && s->second.granted) {
-                run.previous.clear();
-                changed = true;
-            }
+        if (m_settle_at != never) {
+            changed = changed || now >= m_settle_at;
+            due(m_settle_at);
         }
         const auto moves = plan(now);
+        planned = moves.size();
         if (!moves.empty()) {
             apply_moves(draft, moves);
             changed = true;
@@ -398,17 +423,18 @@
     }
     m_draft = std::move(draft);
     m_table_call = true;
-    out.emplace_back(write_table{m_draft, m_table_revision});
+    out.emplace_back(write_table{m_draft, m_table_revision, planned, summarize(m_view, owners(), m_rates)});
 }
 
 std::vector<key_move> key_coordinator::plan(time_point now) {
     const auto servers = owners();
-    m_rates.advance(now);
     // Keys of lost servers first; nothing else is planned in the same batch.
-    auto moves = replace_lost(m_table, servers, m_rates);
-    if (!moves.empty()) {
+    const bool lost = std::any_of(m_view.runs.begin(), m_view.runs.end(),
+                                  [this](const key_run& r) { return !fit(r.owner); });
+    if (lost && !servers.empty()) {
+        m_rates.advance(now);
         m_fenced.clear();
-        return moves;
+        return replace_lost(m_view, servers, m_rates);
     }
     if (!m_fenced.empty()) {
         return std::exchange(m_fenced, {});
@@ -417,7 +443,7 @@
         due(m_plan_at);
         return {};
     }
-    const bool moving = std::any_of(m_table.runs.begin(), m_table.runs.end(),
+    const bool moving = std::any_of(m_view.runs.begin(), m_view.runs.end(),
                                     [](const key_run& r) { return r.moving(); });
     m_plan_at = now + m_settings.plan_pause;
     due(m_plan_at);
@@ -425,9 +451,10 @@
         return {};
     }
     const plan_settings settings;
-    moves = fill_joined(m_table, servers, m_rates, settings);
+    m_rates.advance(now);
+    auto moves = fill_joined(m_view, servers, m_rates, settings);
     if (moves.empty()) {
-        moves = spread_hot(m_table, servers, m_rates, settings);
+        moves = spread_hot(m_view, servers, m_rates, settings);
     }
     return moves;
 }
@@ -479,7 +506,7 @@
         return;
     }
     const auto hold = m_store_falters ? m_settings.longest_hold : m_settings.hold;
-    for (const auto& run : m_table.runs) {
+    for (const auto& run : m_view.runs) {
         auto& s = m_runs[{run.from, run.to, run.fence}];
         for (const auto& p : run.previous) {
             if (s.released.contains(p) || ended(p) || s.releases[p] != 0 || !m_addresses.contains(p)) {
@@ -547,6 +574,9 @@
     s.order = 0;
     if (ok) {
         s.granted = true;
+        if (const auto* run = m_view.find(from); run != nullptr && run->moving()) {
+            settle(*run, now);
+        }
         s.hold = o.hold;
         s.handover.clear();
         s.failing_since = never;
@@ -598,7 +628,7 @@
     step_tenure(now, out);
     // A server that has not answered for a while and whose grants have run out serves nothing, listed or not.
     if (leads(now) && m_claimed) {
-        for (const auto& run : m_table.runs) {
+        for (const auto& run : m_view.runs) {
             const auto s = m_runs.find({run.from, run.to, run.fence});
             if (s != m_runs.end() && s->second.failing_since != never && s->second.order == 0 &&
                 now >= s->second.failing_since + silence && !may_hold(run.owner, 0, key_count - 1, now)) {
--- a/src/libbalsampost_core/key_coordinator_test.cpp
+++ b/src/libbalsampost_core/key_coordinator_test.cpp
@@ -158,7 +158,7 @@
         c.update_servers(w.listed(), w.now);
         w.run(c, seconds{3});
         CPPUNIT_ASSERT(c.leads(w.now));
-        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, c.table().runs.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, c.view().runs.size());
         for (const auto& s : w.servers) {
             CPPUNIT_ASSERT(w.grants_to(s.self.id) > 0);
         }
@@ -216,13 +216,13 @@
         auto first = coordinator("a@1");
         first.update_servers(w.listed(), w.now);
         w.run(first, seconds{3});
-        const auto runs = first.table().runs;
+        const auto runs = first.view().runs;
         auto second = coordinator("b@1");
         second.update_servers(w.listed(), w.now);
         w.grants.clear();
         w.run(second, seconds{4});
         CPPUNIT_ASSERT(second.leads(w.now));
-        CPPUNIT_ASSERT(runs == second.table().runs);
+        CPPUNIT_ASSERT(runs == second.view().runs);
         CPPUNIT_ASSERT(w.releases.empty());
         CPPUNIT_ASSERT(!w.grants.empty());
     }
@@ -255,7 +255,7 @@
         const auto moved = std::find_if(w.grants.begin(), w.grants.end(), [](const auto& g) { return !g.handover.empty(); });
         CPPUNIT_ASSERT(moved != w.grants.end());
         CPPUNIT_ASSERT_EQUAL(w.handover, moved->handover);
-        CPPUNIT_ASSERT(std::none_of(c.table().runs.begin(), c.table().runs.end(),
+        CPPUNIT_ASSERT(std::none_of(c.view().runs.begin(), c.view().runs.end(),
                                     [](const auto& r) { return r.owner.id == "s0" || r.moving(); }));
     }
 
@@ -274,7 +274,7 @@
         bool owned_elsewhere = false;
         while (!owned_elsewhere) {
             w.settle(c);
-            const auto& runs = c.table().runs;
+            const auto& runs = c.view().runs;
             owned_elsewhere = std::none_of(runs.begin(), runs.end(), [](const auto& r) { return r.moving(); }) &&
                               std::none_of(runs.begin(), runs.end(), [&](const auto& r) { return r.owner == lost; });
             w.now += milliseconds{20};
@@ -293,7 +293,7 @@
         w.silent_servers.insert(lost.id);
         c.server_ended(lost);
         w.run(c, milliseconds{100});
-        const auto& runs = c.table().runs;
+        const auto& runs = c.view().runs;
         CPPUNIT_ASSERT(std::none_of(runs.begin(), runs.end(), [&](const auto& r) { return r.owner == lost || r.moving(); }));
     }
 
@@ -337,7 +337,7 @@
         }
         w.run(c, seconds{1});
         CPPUNIT_ASSERT(!w.releases.empty());
-        CPPUNIT_ASSERT(std::none_of(c.table().runs.begin(), c.table().runs.end(),
+        CPPUNIT_ASSERT(std::none_of(c.view().runs.begin(), c.view().runs.end(),
                                     [](const auto& r) { return r.owner.id == "s0"; }));
     }
 
--- a/src/libbalsampost_core/key_load.cpp
+++ b/src/libbalsampost_core/key_load.cpp
@@ -8,62 +8,111 @@
 
 namespace {
 
-// Rates forget with this time constant: a hot spot that lasts a few seconds must show within one.
-constexpr std::chrono::duration<double> rate_memory{1.2};
+// The short rate of a key or group counts if it is this many times the long one and this many requests a second above
+// it: far more than chance makes of a quiet one.
+constexpr double stands_out_times = 2;
+constexpr double stands_out_rate = 8;
+constexpr double largest_unit = 1e9; // Beyond it the counts are scaled down.
+constexpr double most_answers = 40; // Weight of a server's past: its speed may change within a second or two.
 
 } // namespace
 
 void key_counter::take(key_report& report, std::size_t most) {
-    report.bins.assign(m_counts.begin(), m_counts.end());
+    report.keys.assign(m_counts.begin(), m_counts.end());
     m_counts.clear();
-    std::sort(report.bins.begin(), report.bins.end(),
+    std::sort(report.keys.begin(), report.keys.end(),
               [](const auto& a, const auto& b) { return a.second != b.second ? a.second > b.second : a < b; });
-    while (report.bins.size() > most) {
-        report.unlisted += report.bins.back().second;
-        report.bins.pop_back();
+    while (report.keys.size() > most) {
+        report.unlisted += report.keys.back().second;
+        report.keys.pop_back();
     }
 }
 
-void key_rates::add(const key_report& report) {
-    for (const auto& [bin, count] : report.bins) {
-        if (bin < bin_count) {
-            m_rates[bin] += count / rate_memory.count();
+void key_rates::memory::move_to(time_point now) {
+    if (at != never && now > at) {
+        unit *= std::exp(std::chrono::duration<double>(now - at) / length);
+        if (unit > largest_unit) {
+            for (auto& c : counts) {
+                c /= unit;
+            }
+            unit = 1;
         }
     }
-    const double spread = report.unlisted / rate_memory.count() / bin_count;
-    if (spread > 0) {
-        for (auto& r : m_rates) {
-            r += spread;
+    at = std::max(at, now);
+}
+
+void key_rates::memory::add(shard_key key, double requests) {
+    counts[key] += requests * unit;
+}
+
+void key_rates::add(const key_report& report, time_point now) {
+    for (auto* m : {&m_long, &m_short}) {
+        m->counts.resize(key_count);
+        m->move_to(now);
+        for (const auto& [key, requests] : report.keys) {
+            if (key < key_count) {
+                m->add(key, requests);
+            }
+        }
+        if (report.unlisted > 0) {
+            for (shard_key key = 0; key < key_count; ++key) {
+                m->add(key, static_cast<double>(report.unlisted) / key_count);
+            }
         }
     }
 }
 
 void key_rates::advance(time_point now) {
-    if (m_aged != never && now > m_aged) {
-        const double keep = std::exp(-std::chrono::duration<double>(now - m_aged) / rate_memory);
-        for (auto& r : m_rates) {
-            r *= keep;
+    if (m_long.counts.empty()) {
+        return;
+    }
+    m_long.move_to(now);
+    m_short.move_to(now);
+    m_sums.resize(key_count + 1);
+    const auto stands_out = [](double short_rate, double long_rate) {
+        return short_rate > stands_out_times * long_rate && short_rate > long_rate + stands_out_rate;
+    };
+    for (shard_key group = 0; group < key_count; group += keys_per_group) {
+        double short_rate = 0;
+        double long_rate = 0;
+        for (shard_key key = group; key < group + keys_per_group; ++key) {
+            short_rate += m_short.rate(key);
+            long_rate += m_long.rate(key);
+        }
+        const bool hot = stands_out(short_rate, long_rate);
+        for (shard_key key = group; key < group + keys_per_group; ++key) {
+            const bool use_short = hot || stands_out(m_short.rate(key), m_long.rate(key));
+            m_sums[key + 1] = m_sums[key] + (use_short ? m_short.rate(key) : m_long.rate(key));
         }
     }
-    m_aged = now;
 }
 
 double key_rates::rate(shard_key from, shard_key to) const {
-    double sum = 0;
-    for (auto bin = bin_of(from); bin <= bin_of(to); ++bin) {
-        const auto first = std::max(from, bin * keys_per_bin);
-        const auto last = std::min(to, bin * keys_per_bin + keys_per_bin - 1);
-        sum += m_rates[bin] * (last - first + 1) / keys_per_bin;
+    return m_sums.empty() ? 0.0 : m_sums[to + 1] - m_sums[from];
+}
+
+void server_speeds::add(const key_report& report) {
+    for (const auto& [id, answers, total_ms] : report.service_ms) {
+        if (answers == 0) {
+            continue;
+        }
+        auto& s = m_servers[id];
+        const double weight = s.answers + answers;
+        s.ms = (s.ms * s.answers + total_ms) / weight;
+        s.answers = std::min(weight, most_answers);
     }
-    return sum;
 }
 
-double key_rates::total() const {
+double server_speeds::service_ms(const std::string& server, double assumed) const {
+    const auto found = m_servers.find(server);
+    if (found != m_servers.end()) {
+        return std::max(1.0, found->second.ms);
+    }
     double sum = 0;
-    for (const auto r : m_rates) {
-        sum += r;
+    for (const auto& [id, s] : m_servers) {
+        sum += s.ms;
     }
-    return sum;
+    return m_servers.empty() ? assumed : std::max(1.0, sum / static_cast<double>(m_servers.size()));
 }
 
 } // namespace balsampost::core
--- a/src/libbalsampost_core/key_plan.cpp
+++ b/src/libbalsampost_core/key_plan.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <cmath>
 #include <map>
+#include <utility>
 
 namespace balsampost::core {
 
@@ -64,26 +65,72 @@
     return capacity <= 0 ? 0 : load / capacity;
 }
 
-/// The last key of the part of `from`..`to` that begins at `from` and carries about `load`.
+/// The last key of the part of `from`..`to` that begins at `from` and carries at most `load`, or one key.
 shard_key cut_for(const key_rates& rates, shard_key from, shard_key to, double load) {
-    double sum = 0;
-    shard_key at = from;
-    while (at <= to) {
-        const auto edge = std::min<shard_key>(to, (bin_of(at) + 1) * keys_per_bin - 1);
-        const double bin_load = load_of(rates, at, edge);
-        if (sum + bin_load >= load) {
-            const double part = bin_load <= 0 ? 1.0 : (load - sum) / bin_load;
-            const auto keys = static_cast<shard_key>(std::ceil(part * (edge - at + 1)));
-            return at + std::clamp<shard_key>(keys, 1, edge - at + 1) - 1;
+    shard_key low = from; // The part from..low fits, or is the least there can be.
+    shard_key high = to;
+    while (low < high) {
+        const auto middle = low + (high - low + 1) / 2;
+        if (load_of(rates, from, middle) <= load) {
+            low = middle;
+        } else {
+            high = middle - 1;
+        }
+    }
+    return low;
+}
+
+/// The narrowest span of `run` that holds its hot groups of keys; the whole run if they carry little of its load.
+std::pair<shard_key, shard_key> hot_span(const key_run& run, const key_rates& rates) {
+    constexpr double hot_times = 4; // A group is hot at this many times the run's mean ...
+    constexpr double hot_rate = 1;  // ... and this many requests a second.
+    constexpr double most_of_load = 0.5;
+    const double total = rates.rate(run.from, run.to);
+    const double mean = total / run.size() * keys_per_group;
+    auto from = run.to;
+    auto to = run.from;
+    double hot = 0;
+    for (auto group = run.from; group <= run.to; group += keys_per_group) {
+        const auto last = std::min(run.to, group + keys_per_group - 1);
+        const double rate = rates.rate(group, last);
+        if (rate > hot_times * mean && rate > hot_rate) {
+            from = std::min(from, group);
+            to = std::max(to, last);
+            hot += rate;
         }
-        sum += bin_load;
-        at = edge + 1;
     }
-    return to;
+    if (hot < most_of_load * total || from > to) {
+        return {run.from, run.to};
+    }
+    return {from, to};
 }
 
 } // namespace
 
+load_summary summarize(const key_table& table, const std::vector<key_server>& servers, const key_rates& rates) {
+    const auto loads = loads_of(table, servers, rates);
+    load_summary out;
+    out.mean_utilization = mean_utilization(loads);
+    for (const auto& [id, s] : loads) {
+        out.total += s.load;
+        if (s.utilization() > out.most_utilization) {
+            out.most_utilization = s.utilization();
+            out.hottest = id;
+            out.hottest_capacity = s.server->capacity;
+        }
+        out.most_capacity = std::max(out.most_capacity, s.server->capacity);
+    }
+    for (const auto& run : table.runs) {
+        for (auto key = run.from; run.owner == out.hottest && key <= run.to; ++key) {
+            if (rates.rate(key, key) > out.busiest_rate) {
+                out.busiest_rate = rates.rate(key, key);
+                out.busiest_key = key;
+            }
+        }
+    }
+    return out;
+}
+
 std::vector<key_move> first_owners(const std::vector<key_server>& servers) {
     std::vector<key_move> moves;
     double total = 0;
@@ -196,45 +243,33 @@
         }
         const auto density = [&](const key_run* r) { return rates.rate(r->from, r->to) / r->size(); };
         std::sort(runs.begin(), runs.end(), [&](const auto* a, const auto* b) { return density(a) > density(b); });
-        double excess = owner.load - mean * owner.server->capacity;
         for (const auto* run : runs) {
-            if (excess <= 0 || moves.size() >= settings.most_moves) {
-                break;
-            }
-            // Within the run, the span of the bins well above its mean: the hot spot, if there is one.
-            const double run_mean = rates.rate(run->from, run->to) / run->size() * keys_per_bin;
-            shard_key from = run->to;
-            shard_key to = run->from;
-            double hot_load = 0;
-            for (auto bin = bin_of(run->from); bin <= bin_of(run->to); ++bin) {
-                if (rates.of_bin(bin) > 4 * run_mean && rates.of_bin(bin) > 1.0) {
-                    from = std::min(from, std::max(run->from, bin * keys_per_bin));
-                    to = std::max(to, std::min(run->to, bin * keys_per_bin + keys_per_bin - 1));
-                    hot_load += rates.of_bin(bin);
-                }
-            }
-            if (hot_load < excess / 2 || from > to) {
-                from = run->from;
-                to = run->to;
-            }
-            const double span_load = load_of(rates, from, to);
-            // The owner keeps what of the span it has room for.
-            const double keeps = std::max(0.0, span_load - excess);
-            auto at = keeps > 0.1 * span_load ? cut_for(rates, from, to, keeps) + 1 : from;
-            while (at <= to && excess > 0 && moves.size() < settings.most_moves) {
-                auto* taker = roomiest(loads, 0, id);
-                const double room = mean * taker->server->capacity - taker->load;
-                if (room <= 0.05 * mean * taker->server->capacity) {
+            const auto [from, to] = hot_span(*run, rates);
+            for (auto at = from; at <= to && moves.size() < settings.most_moves;) {
+                const double excess = owner.load - mean * owner.server->capacity;
+                if (excess <= 0) {
                     break;
                 }
-                const auto end = cut_for(rates, at, to, std::min(room, excess));
+                // A key that is a large part of a server's capacity goes alone, to where it is least trouble; the
+                // others go in parts that fit the server with the most room.
+                const double one = load_of(rates, at, at);
+                const bool large = one > settings.large_key * owner.server->capacity;
+                auto* taker = roomiest(loads, large ? one : 0, id);
+                const double room = mean * taker->server->capacity - taker->load;
+                const auto end = large ? at : cut_for(rates, at, to, std::min(std::max(room, 0.0), excess));
                 const double moved = load_of(rates, at, end);
-                if ((taker->load + moved) / taker->server->capacity >= owner.utilization()) {
-                    break; // One key's load: it would only move the trouble.
+                const double then = (taker->load + moved) / taker->server->capacity;
+                const bool worse = then > settings.relief * owner.utilization();
+                const bool no_room = !large && room <= settings.least_room * mean * taker->server->capacity;
+                if (worse || no_room) {
+                    at = end + 1; // This part stays; what is beside it may still go.
+                    if (no_room) {
+                        break;
+                    }
+                    continue;
                 }
                 taker->load += moved;
                 owner.load -= moved;
-                excess -= moved;
                 moves.push_back({at, end, taker->server->self, false});
                 at = end + 1;
             }
--- a/src/libbalsampost_core/server_selection.cpp
+++ b/src/libbalsampost_core/server_selection.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace balsampost::core {
 
@@ -21,6 +22,11 @@
 
 } // namespace
 
+const char* to_string(nearness n) {
+    constexpr const char* names[] = {"same_domain", "same_region", "other_region"};
+    return names[static_cast<std::size_t>(n)];
+}
+
 server_pool::server_pool(selection_settings settings, std::string failure_domain,
                          std::map<std::string, std::string> regions)
     : m_settings(settings), m_failure_domain(std::move(failure_domain)), m_regions(std::move(regions)) {}
@@ -74,15 +80,30 @@
     return others + s.in_flight;
 }
 
-double server_pool::expected_ms(const state& s, time_point now) const {
-    double service = s.service_ms > 0 ? s.service_ms : mean_service_ms();
+double server_pool::service_ms_of(const state& s, time_point now) const {
+    const double mean = mean_service_ms();
+    return s.service_ms > 0 ? mean + (s.service_ms - mean) * kept(s, now) : mean;
+}
+
+/// Without it, a server that looked bad would be asked nothing, and look bad for ever.
+double server_pool::kept(const state& s, time_point now) const {
+    if (s.last_ended == never || now <= s.last_ended) {
+        return 1;
+    }
+    return std::exp2(-std::chrono::duration<double>(now - s.last_ended) /
+                     std::chrono::duration<double>(m_settings.learned_half_life));
+}
+
+double server_pool::expected_ms(const state& s, time_point now, bool choosing) const {
+    double service = service_ms_of(s, now);
     if (now < s.info.warm_at()) {
         service *= warming_factor;
     }
     const double slots = std::max<std::uint32_t>(s.info.slots, 1);
     const double ahead = std::max(0.0, load(s, now) + 1 - slots);
     const double travel = s.where == nearness::other_region ? region_round_trip_ms : 0;
-    return (service * (1 + ahead / slots) + travel) * (1 + failure_cost * s.failures * s.failures);
+    const double failures = choosing ? s.failures * kept(s, now) : 0;
+    return (service * (1 + ahead / slots) + travel) * (1 + failure_cost * failures * failures);
 }
 
 double server_pool::cost_ms(const state& s, double expected, const selection_request& request) const {
@@ -99,9 +120,9 @@
                static_cast<double>(request.body_bytes >> 10U);
 }
 
-double server_pool::allowed_ms(const state& s, const selection_request& request) const {
-    const double service = s.service_ms > 0 ? s.service_ms : mean_service_ms();
-    const auto target = static_cast<double>(std::max(request.target, milliseconds{1}).count());
+double server_pool::allowed_ms(const state& s, const selection_request& request, time_point now) const {
+    const double service = service_ms_of(s, now);
+    const auto target = static_cast<double>(std::max(request.target, milliseconds{1}).count()) * m_settings.target_part;
     return std::min(static_cast<double>(request.limit.count()) * m_settings.limit_part,
                     std::max(target, service * late_factor));
 }
@@ -128,8 +149,8 @@
             std::find(request.avoid.begin(), request.avoid.end(), id) != request.avoid.end()) {
             continue;
         }
-        const double expected = expected_ms(s, now);
-        const double allowed = allowed_ms(s, request);
+        const double expected = expected_ms(s, now, true);
+        const double allowed = allowed_ms(s, request, now);
         if (!has_room(s, now) || expected > allowed) {
             soonest = std::min(soonest, time_until_room(s, expected, allowed));
             continue;
@@ -154,8 +175,8 @@
         return {"", milliseconds{0}, shortest_retry};
     }
     const auto& s = found->second;
-    const double expected = expected_ms(s, now);
-    const double allowed = allowed_ms(s, request);
+    const double expected = expected_ms(s, now, false);
+    const double allowed = allowed_ms(s, request, now);
     if (!has_room(s, now) || expected > allowed) {
         return {"", milliseconds{0}, time_until_room(s, expected, allowed)};
     }
@@ -187,6 +208,7 @@
         --s.in_flight;
     }
     const bool miss = sign == server_sign::unreachable || sign == server_sign::silent;
+    s.last_ended = now;
     s.misses = miss ? s.misses + 1 : 0;
     // One request without an answer may be a long one; nobody listening is certain.
     if (sign == server_sign::unreachable || s.misses >= silent_misses) {
@@ -213,8 +235,16 @@
         const double slots = std::max<std::uint32_t>(s.info.slots, 1);
         const double ahead = std::max(0.0, load(s, now) + 1 - slots);
         const double sample = static_cast<double>(took.count()) / (1 + ahead / slots);
-        s.service_ms = s.service_ms > 0 ? s.service_ms + speed_gain * (sample - s.service_ms) : sample;
+        ++s.answers;
+        const double gain = std::max(speed_gain, 1.0 / s.answers);
+        s.service_ms += gain * (sample - s.service_ms);
         m_mean_service_ms = 0;
+        // For the server's speed only answers count that had nothing to wait for.
+        if ((report && report->waiting > 0) || ahead > 0) {
+            return;
+        }
+        ++s.samples;
+        s.sampled_ms += sample;
     }
 }
 
@@ -230,11 +260,26 @@
     return milliseconds{static_cast<std::int64_t>(ms)};
 }
 
+std::vector<server_pool::speed_sample> server_pool::take_samples() {
+    std::vector<speed_sample> out;
+    for (auto& [id, s] : m_servers) {
+        if (s.samples > 0) {
+            out.push_back({id, std::exchange(s.samples, 0), std::exchange(s.sampled_ms, 0)});
+        }
+    }
+    return out;
+}
+
 double server_pool::failure_rate(const std::string& server) const {
     const auto found = m_servers.find(server);
     return found == m_servers.end() ? 0.0 : found->second.failures;
 }
 
+nearness server_pool::where(const std::string& server) const {
+    const auto found = m_servers.find(server);
+    return found == m_servers.end() ? nearness::other_region : found->second.where;
+}
+
 bool server_pool::resting(const std::string& server, time_point now) const {
     const auto found = m_servers.find(server);
     return found != m_servers.end() && now < found->second.rests_until;
--- a/src/libbalsampost_entry/entry.cpp
+++ b/src/libbalsampost_entry/entry.cpp
@@ -10,16 +10,16 @@
 
 using net::error_code;
 using telemetry::event;
-using udp = net::asio::ip::udp;
 
 namespace {
 
 constexpr unsigned status_ok = 200;
 constexpr unsigned status_unavailable = 503;
-constexpr core::milliseconds report_pause{400};   // A hot spot must be seen within a second.
-constexpr core::milliseconds report_at_least{1'000}; // A report without keys says that this instance lives.
+constexpr core::milliseconds report_pause{250};  // A hot spot must be seen within a second.
 constexpr core::milliseconds reporter_lost{2'500};
-constexpr std::size_t most_bins = 256; // In one report; more do not fit into a datagram.
+constexpr core::milliseconds news_missing{1'200}; // Then the table is read in the store.
+constexpr core::milliseconds table_read_pause{600};
+constexpr std::size_t most_keys = 256; // In one report; more do not fit into a datagram.
 // After the stop signal, the balancer asks once a second and takes two misses.
 constexpr core::milliseconds balancer_leaves{3'200};
 constexpr core::milliseconds stop_margin{600}; // Before the end by force.
@@ -27,31 +27,6 @@
 // An outage of the list shorter than this lets no entry lapse.
 constexpr core::milliseconds harmless_outage{500};
 
-/// What one instance sends to a coordinator.
-struct instance_report {
-    std::string instance;
-    core::key_report keys;
-
-    MSGPACK_DEFINE(instance, keys);
-};
-
-/// What the coordinator answers.
-struct report_answer {
-    std::uint32_t instances = 0;
-
-    MSGPACK_DEFINE(instances);
-};
-
-template <class T>
-std::optional<T> unpack(const char* data, std::size_t size) {
-    try {
-        return msgpack::unpack(data, size).get().as<T>();
-    } catch (const std::exception& e) {
-        telemetry::log(event::report_unusable, {{"reason", e.what()}});
-        return std::nullopt;
-    }
-}
-
 core::coordinator_settings coordinator_settings_of(const settings& s) {
     core::coordinator_settings out;
     out.longest_hold = s.bounds.longest_hold;
@@ -70,7 +45,9 @@
       m_callers(m_context, {m_state, m_client, m_timers, *m_platform, m_measured}, m_settings),
       m_readiness(m_context, [this] { return page{ready() ? status_ok : status_unavailable, "text/plain", ""}; }),
       m_metrics(m_context, [this] { return page{status_ok, "text/plain; version=0.0.4", m_measured.serialize()}; }),
-      m_reports(m_context), m_signals(m_context, SIGTERM, SIGINT, SIGHUP),
+      m_peers(m_context, {[this](const auto& r, const auto& from) { reported(r, from); },
+                          [this](const auto& n) { told(n); }}),
+      m_signals(m_context, SIGTERM, SIGINT, SIGHUP),
       m_run(instance_run(m_settings.instance.name, m_started)) {}
 
 entry::~entry() = default;
@@ -80,18 +57,15 @@
         m_readiness.start(m_context, m_settings.listen.readiness);
         m_metrics.start(m_context, m_settings.listen.metrics);
         m_callers.start();
-        m_reports.open(udp::v4());
-        m_reports.non_blocking(true);
-        m_reports.bind({net::asio::ip::make_address(m_settings.listen.peers.address), m_settings.listen.peers.port});
+        m_peers.start(m_settings.listen.peers);
     } catch (const boost::system::system_error& e) {
         telemetry::log(event::start_failed, {{"reason", e.what()}});
         return false;
     }
     telemetry::log(event::started, {{"id", m_run}});
     wait_for_signal();
-    receive_report();
     start_watches();
-    m_timers.at(now() + report_pause, [this] { send_reports(); });
+    m_timers.at(now() + report_pause, [this] { report_loads(); });
     m_context.run();
     telemetry::log(event::stopped, {});
     return true;
@@ -149,21 +123,8 @@
                              },
                              nothing, ignore_return, ignore_loss};
     m_manifest_watch = std::make_shared<kind_watch>(store, m_timers, m_platform->kinds().manifests, std::move(manifests));
-    watch_handlers tables{[this](const std::vector<stored_object>& objects) {
-                              for (const auto& o : objects) {
-                                  table_arrived(o);
-                              }
-                          },
-                          [this](const object_change& c) {
-                              if (!c.removed) {
-                                  table_arrived(c.object);
-                              }
-                          },
-                          nothing, ignore_return, ignore_loss};
-    m_table_watch = std::make_shared<kind_watch>(store, m_timers, key_table_kind, std::move(tables));
     m_backend_watch->start();
     m_manifest_watch->start();
-    m_table_watch->start();
 }
 
 void entry::backend_arrived(const stored_object& object) {
@@ -221,28 +182,12 @@
                                             {"routes", std::to_string(decoded->routes.size())},
                                             {"revision", std::to_string(object.revision)}});
     m_state.set_manifest(std::move(*decoded));
-    for (const auto& [service, table] : m_tables) {
-        m_state.set_table(service, table);
+    for (const auto& [service, known] : m_tables) {
+        m_state.set_table(service, known.table);
     }
     update_key_services();
 }
 
-void entry::table_arrived(const stored_object& object) {
-    auto decoded = core::key_table_from_json(object.value);
-    if (!decoded) {
-        telemetry::log(event::key_table_unusable, {{"service", object.name}, {"reason", decoded.error().message}});
-        return;
-    }
-    telemetry::log(event::key_table_in_force, {{"service", object.name},
-                                               {"term", std::to_string(decoded->term)},
-                                               {"last_fence", std::to_string(decoded->last_fence)},
-                                               {"coordinator", decoded->coordinator},
-                                               {"runs", std::to_string(decoded->runs.size())}});
-    auto table = std::make_shared<const core::key_table>(std::move(*decoded));
-    m_tables[object.name] = table;
-    m_state.set_table(object.name, std::move(table));
-}
-
 void entry::update_key_services() {
     const auto routes = m_state.routes();
     if (!routes || m_stopping) {
@@ -257,6 +202,11 @@
             runner = std::make_shared<key_service>(*m_platform, m_order_client, m_timers, m_measured,
                                                    coordinator_settings_of(m_settings), name, m_run,
                                                    m_settings.instance.name, m_settings.listen.peers);
+            runner->on_table([this, name = name] {
+                const auto& own = m_key_services[name];
+                take_table(name, own->version(), own->table());
+                tell_all(name);
+            });
         }
         std::vector<const core::backend*> servers;
         for (const auto& [id, b] : m_state.directory().entries()) {
@@ -268,88 +218,120 @@
     }
 }
 
-// Reports between instances
+// Owners of keys
+
+void entry::take_table(const std::string& service, const table_version& version, core::key_table table) {
+    auto& known = m_tables[service];
+    if (version <= known.version) {
+        return;
+    }
+    known.version = version;
+    known.table = std::make_shared<const core::key_table>(std::move(table));
+    telemetry::log(event::key_table_in_force, {{"service", service},
+                                               {"revision", std::to_string(version.revision)},
+                                               {"settled", std::to_string(version.settled)},
+                                               {"term", std::to_string(known.table->term)},
+                                               {"last_fence", std::to_string(known.table->last_fence)},
+                                               {"coordinator", known.table->coordinator},
+                                               {"runs", std::to_string(known.table->runs.size())}});
+    m_state.set_table(service, known.table);
+}
+
+void entry::read_table(const std::string& service) {
+    m_tables[service].read_at = now();
+    m_platform->store().read(key_table_kind, service, false, [this, service](const auto& answer) {
+        if (!answer || !*answer) {
+            return; // The store's own failures are logged by the watches; without a table there is nothing to take.
+        }
+        auto table = core::key_table_from_json((*answer)->value);
+        if (!table) {
+            telemetry::log(event::key_table_unusable, {{"service", service}, {"reason", table.error().message}});
+            return;
+        }
+        take_table(service, {(*answer)->revision, 0}, std::move(*table));
+    });
+}
+
+core::key_report entry::load_report_of(const std::string& name, service_state& service) {
+    core::key_report report;
+    report.service = name;
+    service.keys.take(report, most_keys);
+    for (const auto& sample : service.pool.take_samples()) {
+        report.service_ms.emplace_back(sample.server, sample.answers, static_cast<std::uint32_t>(sample.total_ms));
+    }
+    report.unreachable.assign(service.unreachable.begin(), service.unreachable.end());
+    service.unreachable.clear();
+    return report;
+}
 
-void entry::send_reports() {
+void entry::report_loads() {
     if (m_stopping) {
         return;
     }
     const auto at = now();
-    const bool due = at - m_last_report >= report_at_least;
-    for (auto& [name, service] : m_state.services()) {
-        if (!service.keyed || !service.table || (!due && service.keys.empty())) {
+    std::erase_if(m_reporters, [&](const auto& r) { return at - r.second.last > reporter_lost; });
+    for (auto& [name, runner] : m_key_services) {
+        auto* service = m_state.find(name);
+        if (service == nullptr || !service->keyed) {
             continue;
         }
-        instance_report report;
-        report.instance = m_settings.instance.name;
-        report.keys.service = name;
-        report.keys.period_ms = static_cast<std::uint32_t>(report_pause.count());
-        service.keys.take(report.keys, most_bins);
-        for (const auto& [id, b] : m_state.directory().entries()) {
-            if (b.service == name) {
-                report.keys.service_ms.emplace_back(
-                    id, static_cast<std::uint32_t>(service.pool.service_time(id).count()));
-            }
-        }
-        report.keys.unreachable.assign(service.unreachable.begin(), service.unreachable.end());
-        service.unreachable.clear();
-        m_last_report = at;
-        if (service.table->coordinator == m_run) {
-            const auto runner = m_key_services.find(name);
-            if (runner != m_key_services.end()) {
-                runner->second->report(report.keys);
-            }
+        auto report = load_report_of(name, *service);
+        if (runner->leads()) {
+            runner->report(report);
             m_state.set_instances(static_cast<std::uint32_t>(m_reporters.size()) + 1);
             continue;
         }
-        msgpack::sbuffer packed;
-        msgpack::pack(packed, report);
-        error_code ec;
-        const auto& to = service.table->coordinator_at;
-        m_reports.send_to(net::asio::buffer(packed.data(), packed.size()),
-                          {net::asio::ip::make_address(to.address), to.port}, 0, ec);
-        // A report that is lost is made up for by the next.
+        auto& known = m_tables[name];
+        m_peers.send(runner->holder_at(), peer_report{m_settings.instance.name, std::move(report), known.version});
+        const bool unheard = known.heard == core::never || at - known.heard > news_missing;
+        if (unheard && (known.read_at == core::never || at - known.read_at > table_read_pause) &&
+            at - m_started > news_missing) {
+            read_table(name);
+        }
     }
-    std::erase_if(m_reporters, [&](const auto& r) { return at - r.second > reporter_lost; });
-    m_timers.at(at + report_pause, [this] { send_reports(); });
+    m_timers.at(at + report_pause, [this] { report_loads(); });
 }
 
-void entry::receive_report() {
-    m_reports.async_receive_from(net::asio::buffer(m_report_buffer), m_report_from,
-                                 [this](error_code ec, std::size_t size) {
-                                     if (ec == net::asio::error::operation_aborted) {
-                                         return;
-                                     }
-                                     if (!ec) {
-                                         report_received(size);
-                                     }
-                                     receive_report();
-                                 });
+void entry::reported(const peer_report& report, const core::endpoint& from) {
+    m_reporters[report.instance] = {from, now()};
+    const auto runner = m_key_services.find(report.keys.service);
+    if (runner == m_key_services.end() || !runner->second->leads()) {
+        return;
+    }
+    runner->second->report(report.keys);
+    auto news = runner->second->news(report.known);
+    news.instances = static_cast<std::uint32_t>(m_reporters.size()) + 1;
+    m_peers.send(from, news);
 }
 
-void entry::report_received(std::size_t size) {
-    // An answer is the shorter of the two forms.
-    const auto handle = msgpack::unpack(m_report_buffer.data(), size);
-    if (handle.get().type == msgpack::type::ARRAY && handle.get().via.array.size == 1) {
-        if (const auto answer = unpack<report_answer>(m_report_buffer.data(), size)) {
-            m_state.set_instances(answer->instances);
-        }
-        return;
+void entry::tell_all(const std::string& service) {
+    auto news = m_key_services[service]->news({});
+    news.instances = static_cast<std::uint32_t>(m_reporters.size()) + 1;
+    for (const auto& [name, r] : m_reporters) {
+        m_peers.send(r.at, news);
     }
-    const auto report = unpack<instance_report>(m_report_buffer.data(), size);
-    if (!report) {
+}
+
+void entry::told(const peer_news& news) {
+    auto& known = m_tables[news.service];
+    if (news.version < known.version) {
+        return; // Of a coordinator that has been replaced.
+    }
+    known.heard = now();
+    m_state.set_instances(news.instances);
+    const auto runner = m_key_services.find(news.service);
+    if (runner != m_key_services.end()) {
+        runner->second->heard(news.tenure_revision);
+    }
+    if (news.table.empty()) {
         return;
     }
-    m_reporters[report->instance] = now();
-    const auto runner = m_key_services.find(report->keys.service);
-    if (runner == m_key_services.end() || !runner->second->leads()) {
+    auto table = unpack_table(news.table);
+    if (!table) {
+        telemetry::log(event::key_table_unusable, {{"service", news.service}, {"reason", table.error().message}});
         return;
     }
-    runner->second->report(report->keys);
-    msgpack::sbuffer packed;
-    msgpack::pack(packed, report_answer{static_cast<std::uint32_t>(m_reporters.size()) + 1});
-    error_code ec;
-    m_reports.send_to(net::asio::buffer(packed.data(), packed.size()), m_report_from, 0, ec);
+    take_table(news.service, news.version, std::move(*table));
 }
 
 // Stop
--- a/src/libbalsampost_entry/forwarding.cpp
+++ b/src/libbalsampost_entry/forwarding.cpp
@@ -137,6 +137,7 @@
         choice = service->pool.choose(selection(at), at, m_context.state.random());
     }
     if (choice.server.empty()) {
+        m_server = m_key ? service->table->find(*m_key)->owner.id : "";
         refuse("no server can finish in time", choice.retry_after);
         return;
     }
@@ -250,6 +251,16 @@
     ++m_arrivals;
     m_sent_to.push_back(server.self.id);
     if (sign == server_sign::answered) {
+        const auto* service = m_context.state.find(m_service);
+        telemetry::log(event::request_answered,
+                       {{"request", std::string(id())},
+                        {"service", m_service},
+                        {"server", server.self.id},
+                        {"where", service == nullptr ? "" : core::to_string(service->pool.where(server.self.id))},
+                        {"status", std::to_string(result.reply.status)},
+                        {"arrivals", std::to_string(m_arrivals)},
+                        {"sent_bytes", std::to_string(m_request.body ? m_request.body->size() : 0)},
+                        {"took_ms", std::to_string(took.count())}});
         finish({result.reply.status, std::move(result.reply.headers), std::move(result.reply.body), std::nullopt});
         return;
     }
@@ -366,6 +377,9 @@
         static_cast<std::int64_t>(static_cast<double>(retry_after.count()) * spread(m_context.state.random())));
     telemetry::log(event::request_refused, {{"request", std::string(id())},
                                             {"service", m_service},
+                                            {"server", m_server},
+                                            {"key", m_key ? std::to_string(*m_key) : ""},
+                                            {"fence", std::to_string(m_fence)},
                                             {"reason", reason},
                                             {"arrivals", std::to_string(m_arrivals)},
                                             {"retry_after_ms", std::to_string(after.count())}});
--- a/src/libbalsampost_entry/key_service.cpp
+++ b/src/libbalsampost_entry/key_service.cpp
@@ -3,6 +3,8 @@
 
 #include "balsampost/telemetry/log.h"
 
+#include <cmath>
+
 namespace balsampost::entry {
 
 using core::order_outcome;
@@ -53,6 +55,10 @@
     return names[static_cast<std::size_t>(outcome)];
 }
 
+std::string percent(double part) {
+    return std::to_string(std::lround(100 * part));
+}
+
 void log_order(const char* order, const core::incarnation& to, core::shard_key from, core::shard_key last,
                std::uint64_t fence, order_outcome outcome, const exchange_result& result) {
     telemetry::log(outcome == order_outcome::done ? event::key_order : event::order_failed,
@@ -99,6 +105,31 @@
     }
 }
 
+void key_service::heard(std::uint64_t tenure_revision) {
+    m_coordinator.tenure_heard(tenure_revision, now());
+}
+
+core::endpoint key_service::holder_at() const {
+    const auto* tenure = m_coordinator.tenure();
+    return tenure == nullptr || tenure->holder.empty() ? core::endpoint{} : tenure->holder_at;
+}
+
+bool key_service::holder_is_self() const {
+    const auto* tenure = m_coordinator.tenure();
+    return tenure != nullptr && tenure->holder == m_instance;
+}
+
+peer_news key_service::news(const table_version& known) const {
+    peer_news out;
+    out.service = m_service;
+    out.tenure_revision = m_coordinator.tenure_revision();
+    out.version = version();
+    if (known < out.version && !table().runs.empty()) {
+        out.table = pack(table());
+    }
+    return out;
+}
+
 void key_service::probe(const std::string& server_id) {
     const auto found = m_listed.find(server_id);
     if (found == m_listed.end() || !m_coordinator.leads(now()) || !m_probed.insert(server_id).second) {
@@ -145,6 +176,10 @@
         telemetry::log(leads_now ? event::authority_taken : event::authority_lost,
                        {{"service", m_service}, {"term", std::to_string(m_coordinator.term())}});
     }
+    if (leads_now && m_told != version() && !table().runs.empty() && table().coordinator == m_instance) {
+        m_told = version();
+        m_on_table();
+    }
     const auto due = m_coordinator.next_due();
     if (m_timer && m_timer_at == due) {
         return;
@@ -236,6 +271,15 @@
                                               {"term", std::to_string(a.table.term)},
                                               {"last_fence", std::to_string(a.table.last_fence)},
                                               {"runs", std::to_string(a.table.runs.size())},
+                                              {"moves", std::to_string(a.moves)},
+                                              {"load_per_s", std::to_string(std::lround(a.load.total))},
+                                              {"mean_load_percent", percent(a.load.mean_utilization)},
+                                              {"most_load_percent", percent(a.load.most_utilization)},
+                                              {"hottest", a.load.hottest.id},
+                                              {"hottest_capacity_per_s", std::to_string(std::lround(a.load.hottest_capacity))},
+                                              {"most_capacity_per_s", std::to_string(std::lround(a.load.most_capacity))},
+                                              {"busiest_key", std::to_string(a.load.busiest_key)},
+                                              {"busiest_key_per_s", std::to_string(std::lround(a.load.busiest_rate))},
                                               {"if_revision", std::to_string(a.if_revision)}});
     m_words.store().write(key_table_kind, m_service, core::to_json(a.table), a.if_revision,
                           [self = shared_from_this()](store_result<std::uint64_t> answer) {
--- a/src/libbalsampost_entry/kind_watch.cpp
+++ b/src/libbalsampost_entry/kind_watch.cpp
@@ -11,6 +11,9 @@
 
 // A watch that hears nothing ends after this; the connection's own probes find silence sooner.
 constexpr core::milliseconds longest_wait{20'000};
+// After changes, before the next call: those that follow closely come in one answer. Small beside the bounds within
+// which a change must be acted on.
+constexpr core::milliseconds batch_pause{120};
 constexpr core::milliseconds first_pause{100}; // After a failed call; doubled up to the longest.
 constexpr core::milliseconds longest_pause{800};
 
@@ -53,10 +56,16 @@
         for (const auto& change : answer->changes) {
             self->m_handlers.changed(change);
         }
-        if (!answer->changes.empty()) {
-            self->m_handlers.settled();
+        if (answer->changes.empty()) {
+            self->watch();
+            return;
         }
-        self->watch();
+        self->m_handlers.settled();
+        self->m_timers.at(now() + batch_pause, [self] {
+            if (!self->m_stopped) {
+                self->watch();
+            }
+        });
     });
 }
 
--- /dev/null
+++ b/src/libbalsampost_entry/peer_exchange.cpp
@@ -0,0 +1,164 @@
+// The datagram socket between instances and its two messages.
+#include "balsampost/entry/peer_exchange.h"
+
+#include "balsampost/telemetry/log.h"
+
+#include <msgpack.hpp>
+
+#include <map>
+
+namespace balsampost::entry {
+
+using telemetry::event;
+using udp = net::asio::ip::udp;
+
+namespace {
+
+constexpr std::size_t largest_datagram = 60U << 10U;
+enum class message_type : std::uint8_t { report = 1, news = 2 };
+
+/// Servers and runs of a table as plain numbers; a run names servers by their place in the list, from 1.
+struct packed_table {
+    std::uint64_t term = 0;
+    std::uint64_t last_fence = 0;
+    std::string coordinator;
+    std::string coordinator_at;
+    std::vector<std::tuple<std::string, std::int64_t, std::string>> servers;
+    std::vector<std::tuple<std::uint32_t, std::uint32_t, std::uint64_t, std::vector<std::uint32_t>>> runs;
+
+    MSGPACK_DEFINE(term, last_fence, coordinator, coordinator_at, servers, runs);
+};
+
+template <class T>
+void pack_message(msgpack::sbuffer& out, message_type type, const T& message) {
+    msgpack::pack(out, static_cast<std::uint8_t>(type));
+    msgpack::pack(out, message);
+}
+
+} // namespace
+
+std::string pack(const core::key_table& table) {
+    packed_table out{table.term, table.last_fence, table.coordinator, core::to_string(table.coordinator_at), {}, {}};
+    std::map<core::incarnation, std::uint32_t> places;
+    const auto place = [&](const core::incarnation& server) -> std::uint32_t {
+        if (server.empty()) {
+            return 0;
+        }
+        const auto [found, fresh] = places.emplace(server, places.size() + 1);
+        if (fresh) {
+            const auto at = table.addresses.find(server);
+            out.servers.emplace_back(server.id, server.born_ms,
+                                     at == table.addresses.end() ? "" : core::to_string(at->second));
+        }
+        return found->second;
+    };
+    for (const auto& run : table.runs) {
+        std::vector<std::uint32_t> previous;
+        for (const auto& p : run.previous) {
+            previous.push_back(place(p));
+        }
+        out.runs.emplace_back(run.size(), place(run.owner), run.fence, std::move(previous));
+    }
+    msgpack::sbuffer buffer;
+    msgpack::pack(buffer, out);
+    return {buffer.data(), buffer.size()};
+}
+
+core::result<core::key_table> unpack_table(const std::string& bytes) {
+    try {
+        const auto in = msgpack::unpack(bytes.data(), bytes.size()).get().as<packed_table>();
+        core::key_table table;
+        table.term = in.term;
+        table.last_fence = in.last_fence;
+        table.coordinator = in.coordinator;
+        const auto at = core::parse_endpoint(in.coordinator_at);
+        if (!at) {
+            return core::fail(core::error_code::protocol, "coordinator_at: " + at.error());
+        }
+        table.coordinator_at = *at;
+        std::vector<core::incarnation> servers{{}};
+        for (const auto& [id, born, address] : in.servers) {
+            servers.push_back({id, born});
+            if (const auto parsed = core::parse_endpoint(address)) {
+                table.addresses[servers.back()] = *parsed;
+            }
+        }
+        core::shard_key from = 0;
+        for (const auto& [size, owner, fence, previous] : in.runs) {
+            core::key_run run{from, from + size - 1, servers.at(owner), fence, {}};
+            for (const auto p : previous) {
+                run.previous.push_back(servers.at(p));
+            }
+            from += size;
+            table.runs.push_back(std::move(run));
+        }
+        if (!core::is_sound(table)) {
+            return core::fail(core::error_code::protocol, "the runs do not cover the keys once");
+        }
+        return table;
+    } catch (const std::exception& e) {
+        return core::fail(core::error_code::protocol, e.what());
+    }
+}
+
+void peer_exchange::start(const core::endpoint& at) {
+    m_buffer.resize(largest_datagram);
+    m_socket.open(udp::v4());
+    m_socket.non_blocking(true);
+    m_socket.bind({net::asio::ip::make_address(at.address), at.port});
+    receive();
+}
+
+void peer_exchange::receive() {
+    m_socket.async_receive_from(net::asio::buffer(m_buffer), m_from, [this](net::error_code ec, std::size_t size) {
+        if (ec == net::asio::error::operation_aborted) {
+            return;
+        }
+        if (!ec) { // An error is an earlier datagram that nobody took.
+            received(size);
+        }
+        receive();
+    });
+}
+
+void peer_exchange::received(std::size_t size) {
+    try {
+        std::size_t offset = 0;
+        const auto type = msgpack::unpack(m_buffer.data(), size, offset).get().as<std::uint8_t>();
+        const auto message = msgpack::unpack(m_buffer.data(), size, offset);
+        if (type == static_cast<std::uint8_t>(message_type::report)) {
+            m_handlers.reported(message.get().as<peer_report>(), {m_from.address().to_string(), m_from.port()});
+        } else if (type == static_cast<std::uint8_t>(message_type::news)) {
+            m_handlers.told(message.get().as<peer_news>());
+        } else {
+            telemetry::log(event::report_unusable, {{"reason", "unknown type"}, {"from", m_from.address().to_string()}});
+        }
+    } catch (const std::exception& e) {
+        telemetry::log(event::report_unusable, {{"reason", e.what()}, {"from", m_from.address().to_string()}});
+    }
+}
+
+void peer_exchange::send(const core::endpoint& to, const peer_report& report) {
+    msgpack::sbuffer out;
+    pack_message(out, message_type::report, report);
+    send_bytes(to, out.data(), out.size());
+}
+
+void peer_exchange::send(const core::endpoint& to, const peer_news& news) {
+    msgpack::sbuffer out;
+    pack_message(out, message_type::news, news);
+    send_bytes(to, out.data(), out.size());
+}
+
+void peer_exchange::send_bytes(const core::endpoint& to, const char* data, std::size_t size) {
+    if (to.port == 0) {
+        return;
+    }
+    net::error_code ec;
+    m_socket.send_to(net::asio::buffer(data, size), {net::asio::ip::make_address(to.address), to.port}, 0, ec);
+    if (ec) {
+        telemetry::log(event::report_unusable, {{"reason", "not sent: " + ec.message()}, {"to", core::to_string(to)}});
+    }
+}
+
+} // namespace balsampost::entry
