--- a/src/balsampostd/daemon_test.cpp
+++ b/src/balsampostd/daemon_test.cpp
@@ -15,6 +15,7 @@
 
 using net::ambiguity_in;
 using net::is_hop_by_hop;
+using net::named_by_connection;
 
 namespace {
 
