--- a/src/include/balsampost/core/key_coordinator.h
+++ b/src/include/balsampost/core/key_coordinator.h
@@ -6,8 +6,9 @@
 //  1. A tenure is taken by a conditional update, and only after the record stood unchanged for the tenure's length by
 //     this instance's own clock, or if its holder is known to have ended. Its holder orders nothing later than that
 //     length after it sent its last successful renewal.
-//  2. Every table is written under the condition that nobody wrote since; the first one of a tenure is written before
-//     any order, so that late writes of an earlier holder fail. Fencing tokens come from the table and only rise.
+//  2. Every table is written under the condition that nobody wrote since, and before the orders that carry it out.
+//     Fencing tokens come from it and only rise. (The first table of a tenure is written before any order, so that an
+//     earlier holder's late writes fail; no walk of the tests needs that for safety, it saves a conflict.)
 //  3. Keys go to another server only after each server that may hold them confirmed a release under the new token,
 //     or its grants have certainly run out, or its incarnation has ended.
 #pragma once
@@ -24,6 +25,15 @@
 
 namespace balsampost::core {
 
+/// What safety rests on. Tests switch each off, to see that without it two servers come to own one key.
+struct coordinator_rules {
+    bool wait_for_tenure = true;    ///< A tenure is taken only when its holder can order nothing any more.
+    bool end_with_tenure = true;    ///< Nothing is ordered after the tenure's end.
+    bool count_unknown = true;      ///< What an earlier coordinator granted is waited out.
+    bool count_unanswered = true;   ///< A grant without an answer counts as given.
+    bool clear_previous = true;     ///< Earlier owners are released, ended or waited out before a grant.
+};
+
 struct coordinator_settings {
     milliseconds tenure{1'800};       ///< Orders stop this long after the last renewal that succeeded was sent.
     milliseconds renew_tenure{450};   ///< A quarter of the tenure: one lost answer is survived.
@@ -42,6 +52,7 @@
                                       ///< releases once more what was released.
     milliseconds retry_order{150};    ///< Before an order without an answer is sent again.
     milliseconds poll_tenure{600};    ///< Between looks at another holder's tenure, if it is not heard.
+    coordinator_rules rules;
     milliseconds unheard{1'200};      ///< A holder that was not heard for this long is looked for in the store.
 };
 
@@ -119,7 +130,10 @@
     std::vector<coordinator_action> step(time_point now);
     time_point next_due() const { return m_next_due; }
 
-    bool leads(time_point now) const { return m_holds_tenure && now < m_authority_until; }
+    bool leads(time_point now) const {
+        return m_holds_tenure && m_authority_until != never &&
+               (now < m_authority_until || !m_settings.rules.end_with_tenure);
+    }
     std::uint64_t term() const { return m_term; }
     const key_table& table() const { return m_table; }
     /// The table with the moves that are complete, which the store's need not show yet.
@@ -149,14 +163,21 @@
         std::set<incarnation> released;
     };
     using run_key = std::tuple<shard_key, shard_key, std::uint64_t>; // From, to, fence.
-    using hold_key = std::tuple<incarnation, shard_key, shard_key>;
+
+    /// Keys that a server may hold by one grant of this instance.
+    struct possible_hold {
+        incarnation server;
+        shard_key from = 0;
+        shard_key to = 0;
+        time_point until{};      // When it has certainly run out; `time_point::max()` while the grant is under way.
+        std::uint64_t order = 0; // The grant.
+    };
 
     struct order_state {
         run_key run;
         incarnation server;
         milliseconds hold{0};
         time_point sent{};
-        time_point held_before = never; // When grants before this one have certainly run out.
     };
 
     /// A later incarnation under the same id, or a later server at the same address, shows that the earlier ended.
@@ -170,6 +191,7 @@
     bool ended(const incarnation& which) const { return m_ended.contains(which); }
     bool previous_cleared(const key_run& run, const run_state& s, time_point now) const;
     void due(time_point at) { m_next_due = std::min(m_next_due, at); }
+    void end_hold(const order_state& o, std::uint64_t order, bool may_have_arrived, time_point now);
     void forget_holds(const incarnation& which, shard_key from, shard_key to);
     void adopt(key_table table, std::uint64_t revision);
     void settle(const key_run& run, time_point now);
@@ -225,7 +247,7 @@
     std::map<run_key, run_state> m_runs;
     std::map<std::uint64_t, order_state> m_orders;
     std::uint64_t m_next_order = 1;
-    std::map<hold_key, time_point> m_holds;          // When what was granted here has certainly run out.
+    std::vector<possible_hold> m_holds; // One entry a grant, or several when part of it was released.
     std::map<incarnation, time_point> m_unknown_holds; // The same for what an earlier coordinator granted.
     std::vector<key_move> m_fenced; // Runs that a server refused: the same owner, a new token.
 
--- a/src/libbalsampost_core/key_coordinator.cpp
+++ b/src/libbalsampost_core/key_coordinator.cpp
@@ -197,7 +197,7 @@
     if (m_resigned) {
         return;
     }
-    if (m_holds_tenure && m_authority_until != never && now >= m_authority_until) {
+    if (m_holds_tenure && m_authority_until != never && now >= m_authority_until && m_settings.rules.end_with_tenure) {
         lose_authority();
         m_tenure_known = false;
     }
@@ -243,7 +243,8 @@
         return;
     }
     const bool free = !m_tenure || m_tenure->holder.empty() || m_ended_instances.contains(m_tenure->holder);
-    const auto free_at = m_tenure_seen + m_settings.tenure + m_settings.takeover_margin;
+    const auto free_at =
+        m_settings.rules.wait_for_tenure ? m_tenure_seen + m_settings.tenure + m_settings.takeover_margin : m_tenure_seen;
     if (free || now >= free_at) {
         write(m_tenure ? m_tenure->term + 1 : 1);
         return;
@@ -335,7 +336,7 @@
     end_replaced();
     for (const auto& run : m_table.runs) {
         for (const auto& server : servers_of(run)) {
-            if (!ended(server)) {
+            if (!ended(server) && m_settings.rules.count_unknown) {
                 m_unknown_holds[server] = until;
             }
         }
@@ -469,35 +470,50 @@
     if (unknown != m_unknown_holds.end() && now < unknown->second) {
         return true;
     }
-    return std::any_of(m_holds.begin(), m_holds.end(), [&](const auto& h) {
-        const auto& [server, first, last] = h.first;
-        return server == which && first <= to && from <= last && now < h.second;
+    return std::any_of(m_holds.begin(), m_holds.end(), [&](const possible_hold& h) {
+        return h.server == which && h.from <= to && from <= h.to && now < h.until;
     });
 }
 
 void key_coordinator::forget_holds(const incarnation& which, shard_key from, shard_key to) {
-    std::map<hold_key, time_point> next;
-    for (const auto& [key, until] : m_holds) {
-        const auto& [server, first, last] = key;
-        if (server != which || last < from || first > to) {
-            next[key] = std::max(next[key], until);
+    std::vector<possible_hold> next;
+    next.reserve(m_holds.size() + 1);
+    for (const auto& h : m_holds) {
+        if (h.server != which || h.to < from || h.from > to) {
+            next.push_back(h);
             continue;
         }
-        if (first < from) {
-            auto& left = next[{server, first, from - 1}];
-            left = std::max(left, until);
+        if (h.from < from) {
+            next.push_back(h);
+            next.back().to = from - 1;
         }
-        if (last > to) {
-            auto& right = next[{server, to + 1, last}];
-            right = std::max(right, until);
+        if (h.to > to) {
+            next.push_back(h);
+            next.back().from = to + 1;
         }
     }
     m_holds = std::move(next);
 }
 
+void key_coordinator::end_hold(const order_state& o, std::uint64_t order, bool may_have_arrived, time_point now) {
+    const auto runs_out =
+        now + std::chrono::duration_cast<duration>(o.hold * (1 + m_settings.clock_drift)) + m_settings.margin;
+    for (auto& h : m_holds) {
+        if (h.order == order) {
+            h.until = may_have_arrived ? runs_out : now;
+        }
+    }
+    // What has run out, and what this grant outlasts on the same keys, tells nothing any more.
+    std::erase_if(m_holds, [&](const possible_hold& h) {
+        const bool outlasted = may_have_arrived && h.order != order && h.server == o.server &&
+                               h.from >= std::get<0>(o.run) && h.to <= std::get<1>(o.run) && h.until <= runs_out;
+        return h.until <= now || outlasted;
+    });
+}
+
 bool key_coordinator::previous_cleared(const key_run& run, const run_state& s, time_point now) const {
     return std::all_of(run.previous.begin(), run.previous.end(), [&](const incarnation& p) {
-        return s.released.contains(p) || !may_hold(p, run.from, run.to, now);
+        return s.released.contains(p) || !may_hold(p, run.from, run.to, now) || !m_settings.rules.clear_previous;
     });
 }
 
@@ -519,7 +535,7 @@
             }
             const auto order = m_next_order++;
             s.releases[p] = order;
-            m_orders[order] = {{run.from, run.to, run.fence}, p, milliseconds{0}, now, never};
+            m_orders[order] = {{run.from, run.to, run.fence}, p, milliseconds{0}, now};
             out.emplace_back(send_release{order, p, address_of(p), run.from, run.to, run.fence});
         }
         if (run.owner.empty() || ended(run.owner) || s.order != 0 || !m_addresses.contains(run.owner)) {
@@ -537,9 +553,8 @@
         const auto order = m_next_order++;
         s.order = order;
         // Until the answer or the reset of its connection the grant may arrive at any time.
-        auto& held = m_holds.try_emplace({run.owner, run.from, run.to}, never).first->second;
-        m_orders[order] = {{run.from, run.to, run.fence}, run.owner, hold, now, held};
-        held = time_point::max();
+        m_holds.push_back({run.owner, run.from, run.to, time_point::max(), order});
+        m_orders[order] = {{run.from, run.to, run.fence}, run.owner, hold, now};
         out.emplace_back(
             send_grant{order, run.owner, address_of(run.owner), run.from, run.to, run.fence, hold, s.handover});
     }
@@ -553,17 +568,10 @@
     const auto o = found->second;
     m_orders.erase(found);
     const auto& [from, to, fence] = o.run;
-    const hold_key key{o.server, from, to};
-    const auto runs_out = now +
-                          std::chrono::duration_cast<duration>(o.hold * (1 + m_settings.clock_drift)) +
-                          m_settings.margin;
     const auto state = m_runs.find(o.run);
     const bool ok = outcome == order_outcome::done;
-    const bool may_have_arrived = ok || outcome == order_outcome::unknown;
-    const auto held = m_holds.find(key);
-    if (held != m_holds.end()) {
-        held->second = may_have_arrived ? std::max(o.held_before, runs_out) : o.held_before;
-    }
+    const bool may_have_arrived = ok || (outcome == order_outcome::unknown && m_settings.rules.count_unanswered);
+    end_hold(o, order, may_have_arrived, now);
     if (ok) {
         m_lapsed.erase(o.server);
     }
