--- a/src/include/balsampost/core/key_coordinator.h
+++ b/src/include/balsampost/core/key_coordinator.h
@@ -1,15 +1,19 @@
-// The coordinator of one keyed service: who may order (a tenure in the store), who owns which keys (the key table in
-// the store) and which grants and releases carry that out. No input or output: what happened goes in, what to do
-// comes out.
+// The coordinator of one keyed service: who may order (a tenure in the store), who owns which keys (the key
+// table in the store) and which grants and releases carry that out. No input or output: what happened goes
+// in, what to do comes out.
 //
 // Safety, in the order in which it is relied on:
-//  1. A tenure is taken by a conditional update, and only after the record stood unchanged for the tenure's length by
-//     this instance's own clock, or if its holder is known to have ended. Its holder orders nothing later than that
-//     length after it sent its last successful renewal.
-//  2. Every table is written under the condition that nobody wrote since, and before the orders that carry it out.
-//     Fencing tokens come from it and only rise. (The first table of a tenure is written before any order, so that an
-//     earlier holder's late writes fail; no walk of the tests needs that for safety, it saves a conflict.)
-//  3. Keys go to another server only after each server that may hold them confirmed a release under the new token,
+//  1. A tenure is taken by a conditional update, and only after the record stood unchanged for the tenure's
+//  length by
+//     this instance's own clock, or if its holder is known to have ended. Its holder orders nothing later
+//     than that length after it sent its last successful renewal.
+//  2. Every table is written under the condition that nobody wrote since, and before the orders that carry it
+//  out.
+//     Fencing tokens come from it and only rise. (The first table of a tenure is written before any order, so
+//     that an earlier holder's late writes fail; no walk of the tests needs that for safety, it saves a
+//     conflict.)
+//  3. Keys go to another server only after each server that may hold them confirmed a release under the new
+//  token,
 //     or its grants have certainly run out, or its incarnation has ended.
 #pragma once
 
@@ -27,33 +31,38 @@
 
 /// What safety rests on. Tests switch each off, to see that without it two servers come to own one key.
 struct coordinator_rules {
-    bool wait_for_tenure = true;    ///< A tenure is taken only when its holder can order nothing any more.
-    bool end_with_tenure = true;    ///< Nothing is ordered after the tenure's end.
-    bool count_unknown = true;      ///< What an earlier coordinator granted is waited out.
-    bool count_unanswered = true;   ///< A grant without an answer counts as given.
-    bool clear_previous = true;     ///< Earlier owners are released, ended or waited out before a grant.
+    bool wait_for_tenure = true;  ///< A tenure is taken only when its holder can order nothing any more.
+    bool end_with_tenure = true;  ///< Nothing is ordered after the tenure's end.
+    bool count_unknown = true;    ///< What an earlier coordinator granted is waited out.
+    bool count_unanswered = true; ///< A grant without an answer counts as given.
+    bool clear_previous = true;   ///< Earlier owners are released, ended or waited out before a grant.
 };
 
 struct coordinator_settings {
-    milliseconds tenure{1'800};       ///< Orders stop this long after the last renewal that succeeded was sent.
-    milliseconds renew_tenure{450};   ///< A quarter of the tenure: one lost answer is survived.
+    milliseconds tenure{1'800};     ///< Orders stop this long after the last renewal that succeeded was sent.
+    milliseconds renew_tenure{450}; ///< A quarter of the tenure: one lost answer is survived.
     milliseconds takeover_margin{150}; ///< Beyond the tenure, for clocks of unequal speed.
-    milliseconds hold{3'000};         ///< Of a grant in calm times: keys of a silent server are free after it. Longer
-                                      ///< than it takes to miss a coordinator and take its place.
+    milliseconds first_wait{0}; ///< Before a tenure that nobody holds is taken, so that not all try at once.
+    milliseconds hold{3'000}; ///< Of a grant in calm times: keys of a silent server are free after it. Longer
+                              ///< than it takes to miss a coordinator and take its place.
     milliseconds longest_hold{10'000}; ///< Of a grant while the store falters; the servers' bound.
-    milliseconds renew_hold{800};     ///< A third of the hold: two lost answers are survived.
-    double clock_drift = 0.02;        ///< A server's clock may run slow by this part.
-    milliseconds margin{200};         ///< Beyond the end of a grant, for its way to the server.
-    milliseconds faltering{350};      ///< A renewal without an answer for this long: the store falters.
-    milliseconds settle{1'200};       ///< The list of servers must not have grown for this long before the first plan.
+    milliseconds renew_hold{800};      ///< A third of the hold: two lost answers are survived.
+    double clock_drift = 0.02;         ///< A server's clock may run slow by this part.
+    milliseconds margin{200};          ///< Beyond the end of a grant, for its way to the server.
+    milliseconds faltering{350};       ///< A renewal without an answer for this long: the store falters.
+    milliseconds settle{
+        1'200}; ///< The list of servers must not have grown for this long before the first plan.
     milliseconds latest_start{4'000}; ///< The first plan is made then at the latest.
-    milliseconds plan_pause{400};     ///< Between plans that move keys for load; a plan's effect must show first.
-    milliseconds settle_pause{1'000}; ///< A completed move may be in the store this much later: a successor only
-                                      ///< releases once more what was released.
-    milliseconds retry_order{150};    ///< Before an order without an answer is sent again.
-    milliseconds poll_tenure{600};    ///< Between looks at another holder's tenure, if it is not heard.
+    milliseconds plan_pause{400}; ///< Between plans that move keys for load; a plan's effect must show first.
+    milliseconds settle_pause{1'000}; ///< A completed move may be in the store this much later: a successor
+                                      ///< only releases once more what was released.
+    milliseconds retry_order{150};     ///< Before an order without an answer is sent again.
+    milliseconds poll_tenure{600};     ///< Between looks at another holder's tenure, if it is not heard.
+    milliseconds longest_work{10'000}; ///< That a request runs at a server.
+    milliseconds latest_order{12'000}; ///< An order without an answer may still be carried out for this long.
+    std::uint32_t most_orders = 4;     ///< At one server at a time: each takes one of its connections.
     coordinator_rules rules;
-    milliseconds unheard{1'200};      ///< A holder that was not heard for this long is looked for in the store.
+    milliseconds unheard{1'200}; ///< A holder that was not heard for this long is looked for in the store.
 };
 
 struct tenure_record {
@@ -93,7 +102,8 @@
     shard_key last = 0;
     std::uint64_t fence = 0;
 };
-using coordinator_action = std::variant<read_tenure, write_tenure, read_table, write_table, send_grant, send_release>;
+using coordinator_action =
+    std::variant<read_tenure, write_tenure, read_table, write_table, send_grant, send_release>;
 
 enum class write_outcome : std::uint8_t { done, conflict, failed, unknown };
 enum class order_outcome : std::uint8_t {
@@ -112,6 +122,8 @@
     /// Servers of the service that are fit to own keys, and the ids that are listed at all.
     void update_servers(const std::vector<const backend*>& listed, time_point now);
     void server_ended(const incarnation& which);
+    /// No request runs longer at a server than this: the longest timeout of the service's routes.
+    void limit_work(milliseconds longest) { m_settings.longest_work = longest; }
     /// The process that was this instance id has ended for certain.
     void instance_ended(const std::string& instance) { m_ended_instances.insert(instance); }
     void report(const key_report& r, time_point now);
@@ -124,7 +136,8 @@
     void table_read_failed(time_point now);
     void table_written(write_outcome outcome, std::uint64_t revision, time_point now);
     void grant_ended(std::uint64_t order, order_outcome outcome, time_point now);
-    void release_ended(std::uint64_t order, order_outcome outcome, const std::string& handover, time_point now);
+    void release_ended(std::uint64_t order, order_outcome outcome, const std::string& handover,
+                       time_point now);
 
     /// What to do now. Call it after every event and at `next_due`.
     std::vector<coordinator_action> step(time_point now);
@@ -140,6 +153,8 @@
     const key_table& view() const { return m_view; }
     std::uint64_t view_revision() const { return m_table_revision; }
     std::uint64_t view_settled() const { return m_settled; }
+    /// Servers that are asked for more than they can run, and the part that fits, as of the last look.
+    const std::map<incarnation, double>& overloaded() const { return m_overloaded; }
     /// The holder as it was last seen; null if nothing is known.
     const tenure_record* tenure() const { return m_tenure ? &*m_tenure : nullptr; }
     std::uint64_t tenure_revision() const { return m_tenure_revision; }
@@ -152,15 +167,15 @@
 
 private:
     struct run_state {
-        time_point renew_at = never;       // The next grant is due then.
-        std::uint64_t order = 0;           // Of the grant under way; 0: none.
-        bool granted = false;              // This run was granted as it stands.
-        milliseconds hold{0};              // Of the last grant that was answered.
-        time_point failing_since = never;  // First of the last row of grants without an answer.
+        time_point renew_at = never;      // The next grant is due then.
+        std::uint64_t order = 0;          // Of the grant under way; 0: none.
+        bool granted = false;             // This run was granted as it stands.
+        milliseconds hold{0};             // Of the last grant that was answered.
+        time_point failing_since = never; // First of the last row of grants without an answer.
         std::string handover;
         std::map<incarnation, std::uint64_t> releases; // Orders under way; 0: to be sent at m_release_again.
         std::map<incarnation, time_point> release_again;
-        std::set<incarnation> released;
+        std::map<incarnation, time_point> released; // Confirmed; no work is left on the keys from then on.
     };
     using run_key = std::tuple<shard_key, shard_key, std::uint64_t>; // From, to, fence.
 
@@ -169,18 +184,20 @@
         incarnation server;
         shard_key from = 0;
         shard_key to = 0;
-        time_point until{};      // When it has certainly run out; `time_point::max()` while the grant is under way.
+        time_point
+            until{}; // When it has certainly run out; `time_point::max()` while the grant is under way.
         std::uint64_t order = 0; // The grant.
     };
 
     struct order_state {
         run_key run;
         incarnation server;
-        milliseconds hold{0};
+        milliseconds hold{0}; // 0: a release.
         time_point sent{};
     };
 
-    /// A later incarnation under the same id, or a later server at the same address, shows that the earlier ended.
+    /// A later incarnation under the same id, or a later server at the same address, shows that the earlier
+    /// ended.
     void end_replaced();
     void step_tenure(time_point now, std::vector<coordinator_action>& out);
     void step_table(time_point now, std::vector<coordinator_action>& out);
@@ -189,9 +206,12 @@
     std::vector<key_server> owners() const;
     bool fit(const incarnation& which) const;
     bool ended(const incarnation& which) const { return m_ended.contains(which); }
+    bool cleared(const incarnation& previous, const key_run& run, const run_state& s, time_point now) const;
     bool previous_cleared(const key_run& run, const run_state& s, time_point now) const;
     void due(time_point at) { m_next_due = std::min(m_next_due, at); }
     void end_hold(const order_state& o, std::uint64_t order, bool may_have_arrived, time_point now);
+    bool release_under_way(const incarnation& server, shard_key from, shard_key to) const;
+    bool doubtful(const incarnation& server, shard_key from, shard_key to, time_point now) const;
     void forget_holds(const incarnation& which, shard_key from, shard_key to);
     void adopt(key_table table, std::uint64_t revision);
     void settle(const key_run& run, time_point now);
@@ -207,11 +227,11 @@
     time_point m_started;
 
     // Servers.
-    std::map<incarnation, backend> m_servers;      // Listed now.
-    std::map<incarnation, endpoint> m_addresses;   // Also of servers that are listed no more.
-    std::set<incarnation> m_ended;                 // Their processes have ended; they hold nothing.
+    std::map<incarnation, backend> m_servers;    // Listed now.
+    std::map<incarnation, endpoint> m_addresses; // Also of servers that are listed no more.
+    std::set<incarnation> m_ended;               // Their processes have ended; they hold nothing.
     std::set<std::string> m_ended_instances;
-    std::set<incarnation> m_lapsed;                // Silent until their grants ran out, though still listed.
+    std::set<incarnation> m_lapsed; // Silent until their grants ran out, though still listed.
     server_speeds m_speeds;
     time_point m_list_grew = never;
 
@@ -235,12 +255,12 @@
     std::uint64_t m_table_revision = 0; // 0: there is none.
     key_table m_table;                  // As committed.
     key_table m_view;
-    std::uint64_t m_settled = 0;       // Moves completed since m_table was committed.
-    time_point m_settle_at = never;    // The store's table is to show them then; `never` if there are none.
-    key_table m_draft;                  // As being written.
+    std::uint64_t m_settled = 0;    // Moves completed since m_table was committed.
+    time_point m_settle_at = never; // The store's table is to show them then; `never` if there are none.
+    key_table m_draft;              // As being written.
     bool m_table_call = false;
     time_point m_table_again = never;
-    bool m_claimed = false; // The table in the store is this tenure's.
+    bool m_claimed = false;   // The table in the store is this tenure's.
     bool m_first_read = true; // The next table read is the first of this tenure.
 
     // Orders.
@@ -249,9 +269,19 @@
     std::uint64_t m_next_order = 1;
     std::vector<possible_hold> m_holds; // One entry a grant, or several when part of it was released.
     std::map<incarnation, time_point> m_unknown_holds; // The same for what an earlier coordinator granted.
+    /// Releases without an answer. While one may still be carried out, or the work that it found may still
+    /// run, another release of these keys is confirmed at once and proves only that nothing new begins.
+    struct doubtful_release {
+        incarnation server;
+        shard_key from = 0;
+        shard_key to = 0;
+        time_point until{};
+    };
+    std::vector<doubtful_release> m_doubts;
     std::vector<key_move> m_fenced; // Runs that a server refused: the same owner, a new token.
 
     key_rates m_rates;
+    std::map<incarnation, double> m_overloaded;
     time_point m_plan_at = never;
     time_point m_next_due = never;
 };
--- a/src/include/balsampost/core/key_plan.h
+++ b/src/include/balsampost/core/key_plan.h
@@ -1,10 +1,11 @@
-// Which keys should change their owner: keys of servers that are gone or leaving, a share for servers that joined,
-// and hot spots that one server cannot carry. Pure functions of the table and the measured load.
+// Which keys should change their owner: keys of servers that are gone or leaving, a share for servers that
+// joined, and hot spots that one server cannot carry. Pure functions of the table and the measured load.
 #pragma once
 
 #include "balsampost/core/key_load.h"
 #include "balsampost/core/key_table.h"
 
+#include <map>
 #include <vector>
 
 namespace balsampost::core {
@@ -43,7 +44,12 @@
     shard_key busiest_key = 0;   ///< Of the hottest's keys.
     double busiest_rate = 0;     ///< Its requests a second.
 };
-load_summary summarize(const key_table& table, const std::vector<key_server>& servers, const key_rates& rates);
+load_summary summarize(const key_table& table, const std::vector<key_server>& servers,
+                       const key_rates& rates);
+
+/// Servers that are asked for more than they can run, and the part of their requests that fits.
+std::map<incarnation, double> overloads(const key_table& table, const std::vector<key_server>& servers,
+                                        const key_rates& rates);
 
 /// The first owners: one run a server, by capacity.
 std::vector<key_move> first_owners(const std::vector<key_server>& servers);
--- a/src/include/balsampost/entry/entry.h
+++ b/src/include/balsampost/entry/entry.h
@@ -13,6 +13,7 @@
 #include <boost/asio/signal_set.hpp>
 
 #include <memory>
+#include <set>
 
 namespace balsampost::entry {
 
@@ -24,7 +25,8 @@
     entry(settings s, const platform_factory& make_platform);
     ~entry();
 
-    /// Runs until a stop signal has brought the graceful shutdown to its end. False if an address is not to be had.
+    /// Runs until a stop signal has brought the graceful shutdown to its end. False if an address is not to
+    /// be had.
     bool run();
 
 private:
@@ -39,6 +41,7 @@
     core::key_report load_report_of(const std::string& name, service_state& service);
     void read_table(const std::string& service);
     void tell_all(const std::string& service);
+    void take_limits(const peer_news& news);
     void reported(const peer_report& report, const core::endpoint& from);
     void told(const peer_news& news);
     void wait_for_signal();
@@ -69,15 +72,17 @@
     struct known_table {
         table_version version;
         std::shared_ptr<const core::key_table> table;
-        core::time_point heard = core::never; // When its coordinator last sent news.
+        core::time_point heard = core::never;   // When its coordinator last sent news.
         core::time_point read_at = core::never; // When it was last looked for in the store.
     };
     std::map<std::string, known_table> m_tables;
     struct reporter {
         core::endpoint at;
         core::time_point last;
+        std::map<std::string, table_version> known; // By service, as it last said.
     };
     std::map<std::string, reporter> m_reporters; // Instances that report here, by name.
+    std::set<std::string> m_to_tell;             // Services whose news wait to be sent.
     std::uint64_t m_manifest_version = 0;
     bool m_expiry_armed = false;
     bool m_stopping = false;
--- a/src/include/balsampost/entry/peer_exchange.h
+++ b/src/include/balsampost/entry/peer_exchange.h
@@ -1,5 +1,5 @@
-// Datagrams between instances: reports of keyed load to a coordinator, and its news to all who report. Either may be
-// lost; the next one makes up for it, and the store has what must last.
+// Datagrams between instances: reports of keyed load to a coordinator, and its news to all who report. Either
+// may be lost; the next one makes up for it, and the store has what must last.
 #pragma once
 
 #include "balsampost/core/key_load.h"
@@ -37,12 +37,18 @@
     std::uint64_t tenure_revision = 0; ///< Of the coordinator's last renewal that succeeded.
     std::uint32_t instances = 0;       ///< That report to it, itself included.
     table_version version;
-    std::string table; ///< Packed; empty if the receiver has it.
-
-    MSGPACK_DEFINE(service, tenure_revision, instances, version, table);
+    table_version base; ///< What `table` changes: it makes `version` out of it and of all versions between.
+                        ///< Zero: it is whole.
+    std::string table;  ///< Packed; empty if the receiver has it.
+    /// Servers that are asked for more than they can run: their id, and how many of a thousand requests to
+    /// send them.
+    std::vector<std::pair<std::string, std::uint32_t>> admit_permille;
+
+    MSGPACK_DEFINE(service, tenure_revision, instances, version, base, table, admit_permille);
 };
 
-/// A compact form of a key table, for one datagram.
+/// A compact form of a key table without the servers' addresses, for one datagram. Its runs need not cover
+/// all keys.
 std::string pack(const core::key_table& table);
 core::result<core::key_table> unpack_table(const std::string& bytes);
 
--- a/src/include/balsampost/entry/traffic_state.h
+++ b/src/include/balsampost/entry/traffic_state.h
@@ -1,5 +1,5 @@
-// What the instance believes at the moment: the manifest, the backend servers, who owns which keys, and what it
-// learned of each server. Used from one thread.
+// What the instance believes at the moment: the manifest, the backend servers, who owns which keys, and what
+// it learned of each server. Used from one thread.
 #pragma once
 
 #include "balsampost/core/backend_directory.h"
@@ -21,10 +21,18 @@
 struct service_state {
     core::server_pool pool;
     core::repeat_budget repeats;
-    core::key_counter keys;                       // Since the last report.
-    std::set<std::string> unreachable;            // Ids of servers where nobody listened, since the last report.
+    core::key_counter keys;            // Since the last report.
+    std::set<std::string> unreachable; // Ids of servers where nobody listened, since the last report.
     std::shared_ptr<const core::key_table> table; // Null: not known, or the service is not keyed.
     bool keyed = false;
+    /// Part of the requests for each overloaded server that is to be sent, and until when that counts.
+    std::map<std::string, double> admit;
+    core::time_point admit_until = core::never;
+
+    double admitted_part(const std::string& server, core::time_point at) const {
+        const auto found = at < admit_until ? admit.find(server) : admit.end();
+        return found == admit.end() ? 1.0 : found->second;
+    }
 };
 
 class traffic_state {
--- a/src/libbalsampost_core/key_coordinator.cpp
+++ b/src/libbalsampost_core/key_coordinator.cpp
@@ -30,8 +30,8 @@
 
 key_coordinator::key_coordinator(coordinator_settings settings, std::string service, std::string self,
                                  endpoint self_at, time_point now)
-    : m_settings(settings), m_service(std::move(service)), m_self(std::move(self)), m_self_at(std::move(self_at)),
-      m_started(now) {}
+    : m_settings(settings), m_service(std::move(service)), m_self(std::move(self)),
+      m_self_at(std::move(self_at)), m_started(now) {}
 
 // Servers
 
@@ -95,7 +95,8 @@
 
 // Tenure
 
-void key_coordinator::tenure_read(std::uint64_t revision, std::optional<tenure_record> record, time_point now) {
+void key_coordinator::tenure_read(std::uint64_t revision, std::optional<tenure_record> record,
+                                  time_point now) {
     m_tenure_call = false;
     m_poll_at = now + m_settings.poll_tenure;
     if (m_tenure_known && revision < m_tenure_revision) {
@@ -111,8 +112,8 @@
     if (m_holds_tenure && !mine) {
         lose_authority();
     } else if (!m_holds_tenure && mine && !m_resigned) {
-        // A write of this instance took effect without an answer. Its term is this instance's; authority begins
-        // with the next renewal that is answered.
+        // A write of this instance took effect without an answer. Its term is this instance's; authority
+        // begins with the next renewal that is answered.
         m_holds_tenure = true;
         m_term = m_tenure->term;
         m_authority_until = never;
@@ -151,6 +152,7 @@
     m_orders.clear();
     m_holds.clear();
     m_unknown_holds.clear();
+    m_doubts.clear();
     m_lapsed.clear();
     m_fenced.clear();
 }
@@ -197,7 +199,8 @@
     if (m_resigned) {
         return;
     }
-    if (m_holds_tenure && m_authority_until != never && now >= m_authority_until && m_settings.rules.end_with_tenure) {
+    if (m_holds_tenure && m_authority_until != never && now >= m_authority_until &&
+        m_settings.rules.end_with_tenure) {
         lose_authority();
         m_tenure_known = false;
     }
@@ -243,8 +246,14 @@
         return;
     }
     const bool free = !m_tenure || m_tenure->holder.empty() || m_ended_instances.contains(m_tenure->holder);
-    const auto free_at =
-        m_settings.rules.wait_for_tenure ? m_tenure_seen + m_settings.tenure + m_settings.takeover_margin : m_tenure_seen;
+    const auto free_at = m_settings.rules.wait_for_tenure
+                             ? m_tenure_seen + m_settings.tenure + m_settings.takeover_margin
+                             : m_tenure_seen;
+    const auto from = m_tenure_seen + m_settings.first_wait;
+    if (free && now < from) {
+        due(from);
+        return;
+    }
     if (free || now >= free_at) {
         write(m_tenure ? m_tenure->term + 1 : 1);
         return;
@@ -330,11 +339,17 @@
     }
     // What the coordinator before granted is not known here: the longest there can be, from now.
     m_unknown_holds.clear();
-    const auto until = now + std::chrono::duration_cast<duration>(m_settings.longest_hold * (1 + m_settings.clock_drift)) +
-                       m_settings.margin;
+    const auto until =
+        now + std::chrono::duration_cast<duration>(m_settings.longest_hold * (1 + m_settings.clock_drift)) +
+        m_settings.margin;
     m_addresses.insert(m_table.addresses.begin(), m_table.addresses.end());
     end_replaced();
     for (const auto& run : m_table.runs) {
+        // Releases may have been sent that this instance knows nothing of.
+        for (const auto& p : run.previous) {
+            m_doubts.push_back(
+                {p, run.from, run.to, now + m_settings.latest_order + m_settings.longest_work});
+        }
         for (const auto& server : servers_of(run)) {
             if (!ended(server) && m_settings.rules.count_unknown) {
                 m_unknown_holds[server] = until;
@@ -440,19 +455,20 @@
     if (!m_fenced.empty()) {
         return std::exchange(m_fenced, {});
     }
-    if (now < m_plan_at || m_store_falters) {
+    if (now < m_plan_at) {
         due(m_plan_at);
         return {};
     }
-    const bool moving = std::any_of(m_view.runs.begin(), m_view.runs.end(),
-                                    [](const key_run& r) { return r.moving(); });
     m_plan_at = now + m_settings.plan_pause;
     due(m_plan_at);
-    if (moving) {
+    m_rates.advance(now);
+    m_overloaded = overloads(m_view, servers, m_rates);
+    const bool moving =
+        std::any_of(m_view.runs.begin(), m_view.runs.end(), [](const key_run& r) { return r.moving(); });
+    if (moving || m_store_falters) {
         return {};
     }
     const plan_settings settings;
-    m_rates.advance(now);
     auto moves = fill_joined(m_view, servers, m_rates, settings);
     if (moves.empty()) {
         moves = spread_hot(m_view, servers, m_rates, settings);
@@ -475,6 +491,21 @@
     });
 }
 
+bool key_coordinator::release_under_way(const incarnation& server, shard_key from, shard_key to) const {
+    return std::any_of(m_orders.begin(), m_orders.end(), [&](const auto& entry) {
+        const auto& o = entry.second;
+        return o.server == server && o.hold == milliseconds{0} && std::get<0>(o.run) <= to &&
+               from <= std::get<1>(o.run);
+    });
+}
+
+bool key_coordinator::doubtful(const incarnation& server, shard_key from, shard_key to,
+                               time_point now) const {
+    return std::any_of(m_doubts.begin(), m_doubts.end(), [&](const doubtful_release& d) {
+        return d.server == server && d.from <= to && from <= d.to && now < d.until;
+    });
+}
+
 void key_coordinator::forget_holds(const incarnation& which, shard_key from, shard_key to) {
     std::vector<possible_hold> next;
     next.reserve(m_holds.size() + 1);
@@ -495,7 +526,8 @@
     m_holds = std::move(next);
 }
 
-void key_coordinator::end_hold(const order_state& o, std::uint64_t order, bool may_have_arrived, time_point now) {
+void key_coordinator::end_hold(const order_state& o, std::uint64_t order, bool may_have_arrived,
+                               time_point now) {
     const auto runs_out =
         now + std::chrono::duration_cast<duration>(o.hold * (1 + m_settings.clock_drift)) + m_settings.margin;
     for (auto& h : m_holds) {
@@ -506,15 +538,24 @@
     // What has run out, and what this grant outlasts on the same keys, tells nothing any more.
     std::erase_if(m_holds, [&](const possible_hold& h) {
         const bool outlasted = may_have_arrived && h.order != order && h.server == o.server &&
-                               h.from >= std::get<0>(o.run) && h.to <= std::get<1>(o.run) && h.until <= runs_out;
+                               h.from >= std::get<0>(o.run) && h.to <= std::get<1>(o.run) &&
+                               h.until <= runs_out;
         return h.until <= now || outlasted;
     });
 }
 
+bool key_coordinator::cleared(const incarnation& previous, const key_run& run, const run_state& s,
+                              time_point now) const {
+    const auto released = s.released.find(previous);
+    if (released != s.released.end() && now >= released->second) {
+        return true;
+    }
+    return !may_hold(previous, run.from, run.to, now) || !m_settings.rules.clear_previous;
+}
+
 bool key_coordinator::previous_cleared(const key_run& run, const run_state& s, time_point now) const {
-    return std::all_of(run.previous.begin(), run.previous.end(), [&](const incarnation& p) {
-        return s.released.contains(p) || !may_hold(p, run.from, run.to, now) || !m_settings.rules.clear_previous;
-    });
+    return std::all_of(run.previous.begin(), run.previous.end(),
+                       [&](const incarnation& p) { return cleared(p, run, s, now); });
 }
 
 void key_coordinator::step_orders(time_point now, std::vector<coordinator_action>& out) {
@@ -522,10 +563,16 @@
         return;
     }
     const auto hold = m_store_falters ? m_settings.longest_hold : m_settings.hold;
+    std::map<incarnation, std::uint32_t> under_way;
+    for (const auto& [order, o] : m_orders) {
+        ++under_way[o.server];
+    }
+    const auto busy = [&](const incarnation& server) { return under_way[server] >= m_settings.most_orders; };
     for (const auto& run : m_view.runs) {
         auto& s = m_runs[{run.from, run.to, run.fence}];
         for (const auto& p : run.previous) {
-            if (s.released.contains(p) || ended(p) || s.releases[p] != 0 || !m_addresses.contains(p)) {
+            if (s.released.contains(p) || ended(p) || s.releases[p] != 0 || !m_addresses.contains(p) ||
+                busy(p) || release_under_way(p, run.from, run.to)) {
                 continue;
             }
             auto& again = s.release_again[p];
@@ -535,10 +582,12 @@
             }
             const auto order = m_next_order++;
             s.releases[p] = order;
+            ++under_way[p];
             m_orders[order] = {{run.from, run.to, run.fence}, p, milliseconds{0}, now};
             out.emplace_back(send_release{order, p, address_of(p), run.from, run.to, run.fence});
         }
-        if (run.owner.empty() || ended(run.owner) || s.order != 0 || !m_addresses.contains(run.owner)) {
+        if (run.owner.empty() || ended(run.owner) || s.order != 0 || !m_addresses.contains(run.owner) ||
+            busy(run.owner)) {
             continue;
         }
         if (!previous_cleared(run, s, now)) {
@@ -552,11 +601,12 @@
         }
         const auto order = m_next_order++;
         s.order = order;
+        ++under_way[run.owner];
         // Until the answer or the reset of its connection the grant may arrive at any time.
         m_holds.push_back({run.owner, run.from, run.to, time_point::max(), order});
         m_orders[order] = {{run.from, run.to, run.fence}, run.owner, hold, now};
-        out.emplace_back(
-            send_grant{order, run.owner, address_of(run.owner), run.from, run.to, run.fence, hold, s.handover});
+        out.emplace_back(send_grant{order, run.owner, address_of(run.owner), run.from, run.to, run.fence,
+                                    hold, s.handover});
     }
 }
 
@@ -570,7 +620,8 @@
     const auto& [from, to, fence] = o.run;
     const auto state = m_runs.find(o.run);
     const bool ok = outcome == order_outcome::done;
-    const bool may_have_arrived = ok || (outcome == order_outcome::unknown && m_settings.rules.count_unanswered);
+    const bool may_have_arrived =
+        ok || (outcome == order_outcome::unknown && m_settings.rules.count_unanswered);
     end_hold(o, order, may_have_arrived, now);
     if (ok) {
         m_lapsed.erase(o.server);
@@ -611,23 +662,42 @@
     const auto o = found->second;
     m_orders.erase(found);
     const auto& [from, to, fence] = o.run;
+    const auto state = m_runs.find(o.run);
+    const bool in_doubt = doubtful(o.server, from, to, now);
+    const auto ends = in_doubt ? now + m_settings.longest_work : now;
     if (outcome == order_outcome::done) {
+        // Nothing begins there any more; what may still run has an end.
         forget_holds(o.server, from, to);
+        if (in_doubt && !ended(o.server)) {
+            m_holds.push_back({o.server, from, to, ends, order});
+        }
+    }
+    if (outcome != order_outcome::done && outcome != order_outcome::not_sent) {
+        std::erase_if(m_doubts, [&](const doubtful_release& d) { return d.until <= now; });
+        m_doubts.push_back({o.server, from, to, now + m_settings.latest_order + m_settings.longest_work});
+    }
+    if (outcome == order_outcome::done) {
+        // The table may have changed since: the release counts for every run of these keys.
+        for (const auto& run : m_view.runs) {
+            if (run.from >= from && run.to <= to &&
+                std::find(run.previous.begin(), run.previous.end(), o.server) != run.previous.end()) {
+                auto& s = m_runs[{run.from, run.to, run.fence}];
+                s.released[o.server] = ends;
+                if (!handover.empty() && run.from == from && run.to == to) {
+                    s.handover = handover;
+                }
+            }
+        }
     }
-    const auto state = m_runs.find(o.run);
     if (state == m_runs.end()) {
         return;
     }
     auto& s = state->second;
     s.releases[o.server] = 0;
     if (outcome == order_outcome::done) {
-        s.released.insert(o.server);
-        if (!handover.empty()) {
-            s.handover = handover;
-        }
-    } else {
-        s.release_again[o.server] = now + m_settings.retry_order;
+        return;
     }
+    s.release_again[o.server] = now + m_settings.retry_order;
 }
 
 std::vector<coordinator_action> key_coordinator::step(time_point now) {
@@ -667,8 +737,8 @@
         if (!at) {
             return fail(error_code::protocol, "tenure: holder_at: " + at.error());
         }
-        return tenure_record{value.at("term").get<std::uint64_t>(), value.at("holder").get<std::string>(), *at,
-                             value.at("renewals").get<std::uint64_t>()};
+        return tenure_record{value.at("term").get<std::uint64_t>(), value.at("holder").get<std::string>(),
+                             *at, value.at("renewals").get<std::uint64_t>()};
     } catch (const nlohmann::json::exception& e) {
         return fail(error_code::protocol, std::string("tenure: ") + e.what());
     }
--- a/src/libbalsampost_core/key_plan.cpp
+++ b/src/libbalsampost_core/key_plan.cpp
@@ -46,9 +46,8 @@
 server_load* roomiest(load_map& loads, double load, const incarnation& except) {
     server_load* best = nullptr;
     for (auto& [id, s] : loads) {
-        if (id != except &&
-            (best == nullptr ||
-             (s.load + load) / s.server->capacity < (best->load + load) / best->server->capacity)) {
+        if (id != except && (best == nullptr || (s.load + load) / s.server->capacity <
+                                                    (best->load + load) / best->server->capacity)) {
             best = &s;
         }
     }
@@ -80,7 +79,8 @@
     return low;
 }
 
-/// The narrowest span of `run` that holds its hot groups of keys; the whole run if they carry little of its load.
+/// The narrowest span of `run` that holds its hot groups of keys; the whole run if they carry little of its
+/// load.
 std::pair<shard_key, shard_key> hot_span(const key_run& run, const key_rates& rates) {
     constexpr double hot_times = 4; // A group is hot at this many times the run's mean ...
     constexpr double hot_rate = 1;  // ... and this many requests a second.
@@ -107,7 +107,8 @@
 
 } // namespace
 
-load_summary summarize(const key_table& table, const std::vector<key_server>& servers, const key_rates& rates) {
+load_summary summarize(const key_table& table, const std::vector<key_server>& servers,
+                       const key_rates& rates) {
     const auto loads = loads_of(table, servers, rates);
     load_summary out;
     out.mean_utilization = mean_utilization(loads);
@@ -131,6 +132,18 @@
     return out;
 }
 
+std::map<incarnation, double> overloads(const key_table& table, const std::vector<key_server>& servers,
+                                        const key_rates& rates) {
+    constexpr double overloaded = 1.1; // Below, the queue at the server takes up the difference.
+    std::map<incarnation, double> out;
+    for (const auto& [id, s] : loads_of(table, servers, rates)) {
+        if (s.utilization() > overloaded) {
+            out[id] = 1 / s.utilization();
+        }
+    }
+    return out;
+}
+
 std::vector<key_move> first_owners(const std::vector<key_server>& servers) {
     std::vector<key_move> moves;
     double total = 0;
@@ -141,7 +154,8 @@
     shard_key from = 0;
     for (std::size_t i = 0; i < servers.size() && from < key_count; ++i) {
         sum += servers[i].capacity;
-        const auto end = i + 1 == servers.size() ? key_count : static_cast<shard_key>(key_count * (sum / total));
+        const auto end =
+            i + 1 == servers.size() ? key_count : static_cast<shard_key>(key_count * (sum / total));
         if (end > from) {
             moves.push_back({from, end - 1, servers[i].self, true});
             from = end;
@@ -163,8 +177,9 @@
             continue;
         }
         // A large run is shared out, so that one server's loss does not double another's load.
-        const auto pieces = static_cast<shard_key>(
-            std::clamp(std::lround(4 * run.size() / fair), 1L, static_cast<long>(std::min<std::size_t>(4, servers.size()))));
+        const auto pieces =
+            static_cast<shard_key>(std::clamp(std::lround(4 * run.size() / fair), 1L,
+                                              static_cast<long>(std::min<std::size_t>(4, servers.size()))));
         const double piece_load = load_of(rates, run.from, run.to) / pieces;
         auto from = run.from;
         for (shard_key i = 0; i < pieces && from <= run.to; ++i) {
@@ -183,10 +198,12 @@
     std::vector<key_move> moves;
     auto loads = loads_of(table, servers, rates);
     const double mean = mean_utilization(loads);
-    const double fair = static_cast<double>(key_count) / static_cast<double>(std::max<std::size_t>(servers.size(), 1));
+    const double fair =
+        static_cast<double>(key_count) / static_cast<double>(std::max<std::size_t>(servers.size(), 1));
     std::map<shard_key, bool> taken; // Runs that a move was taken from already, by their first key.
     for (auto& [id, joined] : loads) {
-        if (joined.keys >= settings.joined_share * fair || joined.load >= settings.joined_share * mean * joined.server->capacity) {
+        if (joined.keys >= settings.joined_share * fair ||
+            joined.load >= settings.joined_share * mean * joined.server->capacity) {
             continue;
         }
         double wanted = mean * joined.server->capacity - joined.load;
@@ -195,7 +212,8 @@
             double most = 0;
             for (const auto& run : table.runs) {
                 const auto owner = loads.find(run.owner);
-                if (owner == loads.end() || run.moving() || taken[run.from] || run.size() < 2 || run.owner == id) {
+                if (owner == loads.end() || run.moving() || taken[run.from] || run.size() < 2 ||
+                    run.owner == id) {
                     continue;
                 }
                 if (owner->second.utilization() > most) {
@@ -208,7 +226,8 @@
             }
             auto& owner = loads.at(source->owner);
             const double run_load = load_of(rates, source->from, source->to);
-            const double give = std::min({wanted, run_load / 2, std::max(wanted / 3, owner.load - mean * owner.server->capacity)});
+            const double give = std::min(
+                {wanted, run_load / 2, std::max(wanted / 3, owner.load - mean * owner.server->capacity)});
             const auto to = std::min(source->to - 1, cut_for(rates, source->from, source->to, give));
             const double given = load_of(rates, source->from, to);
             taken[source->from] = true;
@@ -242,7 +261,8 @@
             }
         }
         const auto density = [&](const key_run* r) { return rates.rate(r->from, r->to) / r->size(); };
-        std::sort(runs.begin(), runs.end(), [&](const auto* a, const auto* b) { return density(a) > density(b); });
+        std::sort(runs.begin(), runs.end(),
+                  [&](const auto* a, const auto* b) { return density(a) > density(b); });
         for (const auto* run : runs) {
             const auto [from, to] = hot_span(*run, rates);
             for (auto at = from; at <= to && moves.size() < settings.most_moves;) {
@@ -250,8 +270,8 @@
                 if (excess <= 0) {
                     break;
                 }
-                // A key that is a large part of a server's capacity goes alone, to where it is least trouble; the
-                // others go in parts that fit the server with the most room.
+                // A key that is a large part of a server's capacity goes alone, to where it is least trouble;
+                // the others go in parts that fit the server with the most room.
                 const double one = load_of(rates, at, at);
                 const bool large = one > settings.large_key * owner.server->capacity;
                 auto* taker = roomiest(loads, large ? one : 0, id);
--- a/src/libbalsampost_core/key_table.cpp
+++ b/src/libbalsampost_core/key_table.cpp
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace balsampost::core {
 
@@ -77,6 +78,47 @@
     table.runs = std::move(joined);
 }
 
+std::vector<key_run> changed_runs(const key_table& base, const key_table& next) {
+    std::vector<key_run> out;
+    for (const auto& run : next.runs) {
+        const auto* old = base.find(run.from);
+        if (old == nullptr || *old != run) {
+            out.push_back(run);
+        }
+    }
+    return out;
+}
+
+void overlay(key_table& table, const std::vector<key_run>& runs) {
+    for (const auto& run : runs) {
+        std::vector<key_run> next;
+        next.reserve(table.runs.size() + 2);
+        bool placed = false;
+        const auto place = [&] {
+            if (!std::exchange(placed, true)) {
+                next.push_back(run);
+            }
+        };
+        for (const auto& old : table.runs) {
+            if (old.to < run.from) {
+                next.push_back(old);
+                continue;
+            }
+            if (old.from < run.from) {
+                next.push_back(old);
+                next.back().to = run.from - 1;
+            }
+            place();
+            if (old.to > run.to) {
+                next.push_back(old);
+                next.back().from = std::max(old.from, run.to + 1);
+            }
+        }
+        place();
+        table.runs = std::move(next);
+    }
+}
+
 namespace {
 
 nlohmann::json to_value(const incarnation& i) {
@@ -84,7 +126,8 @@
 }
 
 incarnation incarnation_from(const nlohmann::json& value) {
-    return value.is_null() ? incarnation{} : incarnation{value.at(0).get<std::string>(), value.at(1).get<std::int64_t>()};
+    return value.is_null() ? incarnation{}
+                           : incarnation{value.at(0).get<std::string>(), value.at(1).get<std::int64_t>()};
 }
 
 } // namespace
@@ -131,8 +174,11 @@
             table.addresses[{a.at(0).get<std::string>(), a.at(1).get<std::int64_t>()}] = *parsed;
         }
         for (const auto& r : value.at("runs")) {
-            key_run run{r.at(0).get<shard_key>(), r.at(1).get<shard_key>(), incarnation_from(r.at(2)),
-                        r.at(3).get<std::uint64_t>(), {}};
+            key_run run{r.at(0).get<shard_key>(),
+                        r.at(1).get<shard_key>(),
+                        incarnation_from(r.at(2)),
+                        r.at(3).get<std::uint64_t>(),
+                        {}};
             for (const auto& p : r.at(4)) {
                 run.previous.push_back(incarnation_from(p));
             }
--- a/src/libbalsampost_entry/entry.cpp
+++ b/src/libbalsampost_entry/entry.cpp
@@ -5,6 +5,7 @@
 #include "balsampost/telemetry/log.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace balsampost::entry {
 
@@ -15,7 +16,12 @@
 
 constexpr unsigned status_ok = 200;
 constexpr unsigned status_unavailable = 503;
-constexpr core::milliseconds report_pause{250};  // A hot spot must be seen within a second.
+constexpr core::milliseconds report_pause{250}; // A hot spot must be seen within a second.
+// With many instances the coordinator is told less often by each: it takes so many reports a second in all.
+constexpr std::uint32_t reports_per_second = 80;
+constexpr core::milliseconds longest_report_pause{800};
+constexpr core::milliseconds tell_pause{
+    25}; // Moves of one plan complete close together and share their news.
 constexpr core::milliseconds reporter_lost{2'500};
 constexpr core::milliseconds news_missing{1'200}; // Then the table is read in the store.
 constexpr core::milliseconds table_read_pause{600};
@@ -27,15 +33,36 @@
 // An outage of the list shorter than this lets no entry lapse.
 constexpr core::milliseconds harmless_outage{500};
 
+constexpr core::milliseconds takeover_spread{
+    250};                                    // Between the first and the last that would take a free tenure.
+constexpr core::milliseconds weak_wait{400}; // That the weakest instance leaves to the others besides.
+
 core::coordinator_settings coordinator_settings_of(const settings& s) {
     core::coordinator_settings out;
     out.longest_hold = s.bounds.longest_hold;
     out.hold = std::min(out.hold, s.bounds.longest_hold);
     // Instances take a free tenure one after the other, not all in the same moment.
-    out.takeover_margin += core::milliseconds(static_cast<std::int64_t>(core::hash_of(s.instance.name) % 400));
+    out.first_wait =
+        core::milliseconds(
+            static_cast<std::int64_t>(core::hash_of(s.instance.name) % takeover_spread.count())) +
+        core::milliseconds(std::llround(s.resources.weakness() * static_cast<double>(weak_wait.count())));
+    out.takeover_margin += out.first_wait;
     return out;
 }
 
+/// The longest that a request of `service` is waited for; manifests change, so never less than the default.
+core::milliseconds longest_timeout(const core::route_index& routes, const std::string& service) {
+    core::milliseconds longest{3'000};
+    for (const auto& r : routes.source().routes) {
+        for (const auto& part : r.parts) {
+            if (part.service == service) {
+                longest = std::max(longest, r.timeout);
+            }
+        }
+    }
+    return longest;
+}
+
 } // namespace
 
 entry::entry(settings s, const platform_factory& make_platform)
@@ -43,8 +70,14 @@
       m_order_client(m_context, m_timers, {}), m_store_client(m_context, m_timers, {}),
       m_platform(make_platform(m_store_client, m_timers, m_settings)), m_state(m_settings),
       m_callers(m_context, {m_state, m_client, m_timers, *m_platform, m_measured}, m_settings),
-      m_readiness(m_context, [this] { return page{ready() ? status_ok : status_unavailable, "text/plain", ""}; }),
-      m_metrics(m_context, [this] { return page{status_ok, "text/plain; version=0.0.4", m_measured.serialize()}; }),
+      m_readiness(m_context,
+                  [this] {
+                      return page{ready() ? status_ok : status_unavailable, "text/plain", ""};
+                  }),
+      m_metrics(m_context,
+                [this] {
+                    return page{status_ok, "text/plain; version=0.0.4", m_measured.serialize()};
+                }),
       m_peers(m_context, {[this](const auto& r, const auto& from) { reported(r, from); },
                           [this](const auto& n) { told(n); }}),
       m_signals(m_context, SIGTERM, SIGINT, SIGHUP),
@@ -90,7 +123,8 @@
                 if (decoded) {
                     entries.push_back(std::move(*decoded));
                 } else {
-                    telemetry::log(event::backend_unusable, {{"server", o.name}, {"reason", decoded.error().message}});
+                    telemetry::log(event::backend_unusable,
+                                   {{"server", o.name}, {"reason", decoded.error().message}});
                 }
             }
             m_state.directory().replace(std::move(entries), now());
@@ -110,7 +144,8 @@
             }
         },
         ignore_loss};
-    m_backend_watch = std::make_shared<kind_watch>(store, m_timers, m_platform->kinds().backends, std::move(backends));
+    m_backend_watch =
+        std::make_shared<kind_watch>(store, m_timers, m_platform->kinds().backends, std::move(backends));
     watch_handlers manifests{[this](const std::vector<stored_object>& objects) {
                                  for (const auto& o : objects) {
                                      manifest_arrived(o);
@@ -122,7 +157,8 @@
                                  }
                              },
                              nothing, ignore_return, ignore_loss};
-    m_manifest_watch = std::make_shared<kind_watch>(store, m_timers, m_platform->kinds().manifests, std::move(manifests));
+    m_manifest_watch =
+        std::make_shared<kind_watch>(store, m_timers, m_platform->kinds().manifests, std::move(manifests));
     m_backend_watch->start();
     m_manifest_watch->start();
 }
@@ -130,7 +166,8 @@
 void entry::backend_arrived(const stored_object& object) {
     auto decoded = m_platform->decode_backend(object);
     if (!decoded) {
-        telemetry::log(event::backend_unusable, {{"server", object.name}, {"reason", decoded.error().message}});
+        telemetry::log(event::backend_unusable,
+                       {{"server", object.name}, {"reason", decoded.error().message}});
         m_state.directory().remove(object.name, now());
         return;
     }
@@ -169,8 +206,8 @@
     }
     auto decoded = m_platform->decode_manifest(object);
     if (!decoded) {
-        telemetry::log(event::config_unusable, {{"reason", decoded.error().message},
-                                                {"revision", std::to_string(object.revision)}});
+        telemetry::log(event::config_unusable,
+                       {{"reason", decoded.error().message}, {"revision", std::to_string(object.revision)}});
         return;
     }
     if (m_state.routes() && decoded->version <= m_manifest_version) {
@@ -205,9 +242,12 @@
             runner->on_table([this, name = name] {
                 const auto& own = m_key_services[name];
                 take_table(name, own->version(), own->table());
-                tell_all(name);
+                if (m_to_tell.insert(name).second) {
+                    m_timers.at(now() + tell_pause, [this, name] { tell_all(name); });
+                }
             });
         }
+        runner->limit_work(longest_timeout(*routes, name));
         std::vector<const core::backend*> servers;
         for (const auto& [id, b] : m_state.directory().entries()) {
             if (b.service == name) {
@@ -241,11 +281,13 @@
     m_tables[service].read_at = now();
     m_platform->store().read(key_table_kind, service, false, [this, service](const auto& answer) {
         if (!answer || !*answer) {
-            return; // The store's own failures are logged by the watches; without a table there is nothing to take.
+            return; // The store's own failures are logged by the watches; without a table there is nothing to
+                    // take.
         }
         auto table = core::key_table_from_json((*answer)->value);
         if (!table) {
-            telemetry::log(event::key_table_unusable, {{"service", service}, {"reason", table.error().message}});
+            telemetry::log(event::key_table_unusable,
+                           {{"service", service}, {"reason", table.error().message}});
             return;
         }
         take_table(service, {(*answer)->revision, 0}, std::move(*table));
@@ -257,7 +299,8 @@
     report.service = name;
     service.keys.take(report, most_keys);
     for (const auto& sample : service.pool.take_samples()) {
-        report.service_ms.emplace_back(sample.server, sample.answers, static_cast<std::uint32_t>(sample.total_ms));
+        report.service_ms.emplace_back(sample.server, sample.answers,
+                                       static_cast<std::uint32_t>(sample.total_ms));
     }
     report.unreachable.assign(service.unreachable.begin(), service.unreachable.end());
     service.unreachable.clear();
@@ -279,21 +322,27 @@
         if (runner->leads()) {
             runner->report(report);
             m_state.set_instances(static_cast<std::uint32_t>(m_reporters.size()) + 1);
+            take_limits(runner->news(runner->version()));
             continue;
         }
         auto& known = m_tables[name];
-        m_peers.send(runner->holder_at(), peer_report{m_settings.instance.name, std::move(report), known.version});
+        m_peers.send(runner->holder_at(),
+                     peer_report{m_settings.instance.name, std::move(report), known.version});
         const bool unheard = known.heard == core::never || at - known.heard > news_missing;
         if (unheard && (known.read_at == core::never || at - known.read_at > table_read_pause) &&
             at - m_started > news_missing) {
             read_table(name);
         }
     }
-    m_timers.at(at + report_pause, [this] { report_loads(); });
+    const auto share = core::milliseconds(1000) * m_state.instances() / reports_per_second;
+    m_timers.at(at + std::clamp(share, report_pause, longest_report_pause), [this] { report_loads(); });
 }
 
 void entry::reported(const peer_report& report, const core::endpoint& from) {
-    m_reporters[report.instance] = {from, now()};
+    auto& sender = m_reporters[report.instance];
+    sender.at = from;
+    sender.last = now();
+    sender.known[report.keys.service] = report.known;
     const auto runner = m_key_services.find(report.keys.service);
     if (runner == m_key_services.end() || !runner->second->leads()) {
         return;
@@ -305,11 +354,34 @@
 }
 
 void entry::tell_all(const std::string& service) {
-    auto news = m_key_services[service]->news({});
-    news.instances = static_cast<std::uint32_t>(m_reporters.size()) + 1;
+    m_to_tell.erase(service);
+    const auto runner = m_key_services.find(service);
+    if (runner == m_key_services.end() || !runner->second->leads()) {
+        return;
+    }
+    std::map<table_version, peer_news> made; // Most instances have the same version.
     for (const auto& [name, r] : m_reporters) {
-        m_peers.send(r.at, news);
+        const auto known = r.known.find(service);
+        const auto base = known == r.known.end() ? table_version{} : known->second;
+        auto found = made.find(base);
+        if (found == made.end()) {
+            found = made.emplace(base, runner->second->news(base)).first;
+            found->second.instances = static_cast<std::uint32_t>(m_reporters.size()) + 1;
+        }
+        m_peers.send(r.at, found->second);
+    }
+}
+
+void entry::take_limits(const peer_news& news) {
+    auto* service = m_state.find(news.service);
+    if (service == nullptr) {
+        return;
     }
+    service->admit.clear();
+    for (const auto& [server, permille] : news.admit_permille) {
+        service->admit[server] = permille / 1000.0;
+    }
+    service->admit_until = now() + news_missing;
 }
 
 void entry::told(const peer_news& news) {
@@ -323,12 +395,27 @@
     if (runner != m_key_services.end()) {
         runner->second->heard(news.tenure_revision);
     }
-    if (news.table.empty()) {
+    take_limits(news);
+    if (news.table.empty() || news.version == known.version) {
         return;
     }
+    if (news.base != table_version{} && (!known.table || known.version < news.base)) {
+        return; // The next report says what this instance has.
+    }
     auto table = unpack_table(news.table);
     if (!table) {
-        telemetry::log(event::key_table_unusable, {{"service", news.service}, {"reason", table.error().message}});
+        telemetry::log(event::key_table_unusable,
+                       {{"service", news.service}, {"reason", table.error().message}});
+        return;
+    }
+    if (news.base != table_version{}) {
+        auto whole = *known.table;
+        core::overlay(whole, table->runs);
+        table->runs = std::move(whole.runs);
+    }
+    if (!core::is_sound(*table)) {
+        telemetry::log(event::key_table_unusable,
+                       {{"service", news.service}, {"reason", "its runs do not cover the keys once"}});
         return;
     }
     take_table(news.service, news.version, std::move(*table));
@@ -342,7 +429,8 @@
             return;
         }
         if (number == SIGHUP) {
-            telemetry::log(event::config_in_force, {{"reload", "nothing in the settings is read again while running"}});
+            telemetry::log(event::config_in_force,
+                           {{"reload", "nothing in the settings is read again while running"}});
         } else if (!m_stopping) {
             begin_stop();
         }
--- a/src/libbalsampost_entry/key_service.cpp
+++ b/src/libbalsampost_entry/key_service.cpp
@@ -3,6 +3,7 @@
 
 #include "balsampost/telemetry/log.h"
 
+#include <algorithm>
 #include <cmath>
 
 namespace balsampost::entry {
@@ -19,6 +20,7 @@
 constexpr core::milliseconds grant_time{400};
 constexpr core::milliseconds release_time{1'500};
 constexpr core::milliseconds probe_time{200};
+constexpr std::size_t most_history = 12; // Versions; more come in a second only while keys run hot.
 constexpr char run_separator = '@';
 
 write_outcome outcome_of(store_fault fault) {
@@ -124,9 +126,22 @@
     out.service = m_service;
     out.tenure_revision = m_coordinator.tenure_revision();
     out.version = version();
-    if (known < out.version && !table().runs.empty()) {
+    for (const auto& [server, part] : m_coordinator.overloaded()) {
+        out.admit_permille.emplace_back(server.id, static_cast<std::uint32_t>(std::lround(part * 1000)));
+    }
+    if (known >= out.version || table().runs.empty()) {
+        return out;
+    }
+    const auto base =
+        std::find_if(m_history.begin(), m_history.end(), [&](const auto& h) { return h.first == known; });
+    if (base == m_history.end()) {
         out.table = pack(table());
+        return out;
     }
+    out.base = known;
+    auto part = table();
+    part.runs = core::changed_runs(base->second, table());
+    out.table = pack(part);
     return out;
 }
 
@@ -140,16 +155,17 @@
     request.fresh = true;
     request.connect_only = true;
     request.deadline = now() + probe_time;
-    m_orders.start(found->second.address, std::move(request),
-                   [self = shared_from_this(), which = found->second.self](exchange_result& result) {
-                       self->m_probed.erase(which.id);
-                       if (result.refused) {
-                           telemetry::log(event::backend_ended, {{"server", which.id}, {"service", self->m_service}});
-                           self->m_coordinator.server_ended(which);
-                           self->step();
-                       }
-                       return false;
-                   });
+    m_orders.start(
+        found->second.address, std::move(request),
+        [self = shared_from_this(), which = found->second.self](exchange_result& result) {
+            self->m_probed.erase(which.id);
+            if (result.refused) {
+                telemetry::log(event::backend_ended, {{"server", which.id}, {"service", self->m_service}});
+                self->m_coordinator.server_ended(which);
+                self->step();
+            }
+            return false;
+        });
 }
 
 void key_service::step() {
@@ -178,6 +194,10 @@
     }
     if (leads_now && m_told != version() && !table().runs.empty() && table().coordinator == m_instance) {
         m_told = version();
+        m_history.emplace_back(m_told, table());
+        if (m_history.size() > most_history) {
+            m_history.pop_front();
+        }
         m_on_table();
     }
     const auto due = m_coordinator.next_due();
@@ -200,13 +220,15 @@
     const auto write = m_coordinator.resign(now());
     m_stopped = true;
     if (write) {
-        m_words.store().write(tenure_kind, m_service, core::to_json(write->record), write->if_revision,
-                              [](store_result<std::uint64_t> answer) {
-                                  if (!answer) {
-                                      // The next coordinator waits for the tenure to run out.
-                                      telemetry::log(event::store_unavailable, {{"kind", tenure_kind}, {"fault", entry::to_string(answer.error())}});
-                                  }
-                              });
+        m_words.store().write(
+            tenure_kind, m_service, core::to_json(write->record), write->if_revision,
+            [](store_result<std::uint64_t> answer) {
+                if (!answer) {
+                    // The next coordinator waits for the tenure to run out.
+                    telemetry::log(event::store_unavailable,
+                                   {{"kind", tenure_kind}, {"fault", entry::to_string(answer.error())}});
+                }
+            });
     }
 }
 
@@ -221,11 +243,14 @@
     }
     auto record = core::tenure_from_json((*answer)->value);
     if (!record) {
-        telemetry::log(event::key_table_unusable, {{"service", m_service}, {"reason", record.error().message}});
+        telemetry::log(event::key_table_unusable,
+                       {{"service", m_service}, {"reason", record.error().message}});
         m_coordinator.tenure_read((*answer)->revision, core::tenure_record{}, now());
         return;
     }
-    telemetry::log(event::tenure_read, {{"service", m_service}, {"holder", record->holder}, {"term", std::to_string(record->term)}});
+    telemetry::log(
+        event::tenure_read,
+        {{"service", m_service}, {"holder", record->holder}, {"term", std::to_string(record->term)}});
     // An earlier run of this instance has ended: this one took its addresses.
     if (record->holder != m_instance && instance_name_of(record->holder) == m_instance_name) {
         m_coordinator.instance_ended(record->holder);
@@ -244,7 +269,8 @@
     const auto sent = now();
     m_words.store().write(tenure_kind, m_service, core::to_json(a.record), a.if_revision,
                           [self = shared_from_this(), sent](store_result<std::uint64_t> answer) {
-                              self->m_coordinator.tenure_written(answer ? write_outcome::done : outcome_of(answer.error()),
+                              self->m_coordinator.tenure_written(answer ? write_outcome::done
+                                                                        : outcome_of(answer.error()),
                                                                  answer ? *answer : 0, sent, now());
                               self->step();
                           });
@@ -259,7 +285,8 @@
         } else if (auto table = core::key_table_from_json((*answer)->value)) {
             self->m_coordinator.table_read((*answer)->revision, std::move(*table), now());
         } else {
-            telemetry::log(event::key_table_unusable, {{"service", self->m_service}, {"reason", table.error().message}});
+            telemetry::log(event::key_table_unusable,
+                           {{"service", self->m_service}, {"reason", table.error().message}});
             self->m_coordinator.table_read_failed(now());
         }
         self->step();
@@ -267,23 +294,25 @@
 }
 
 void key_service::run(const core::write_table& a) {
-    telemetry::log(event::key_table_written, {{"service", m_service},
-                                              {"term", std::to_string(a.table.term)},
-                                              {"last_fence", std::to_string(a.table.last_fence)},
-                                              {"runs", std::to_string(a.table.runs.size())},
-                                              {"moves", std::to_string(a.moves)},
-                                              {"load_per_s", std::to_string(std::lround(a.load.total))},
-                                              {"mean_load_percent", percent(a.load.mean_utilization)},
-                                              {"most_load_percent", percent(a.load.most_utilization)},
-                                              {"hottest", a.load.hottest.id},
-                                              {"hottest_capacity_per_s", std::to_string(std::lround(a.load.hottest_capacity))},
-                                              {"most_capacity_per_s", std::to_string(std::lround(a.load.most_capacity))},
-                                              {"busiest_key", std::to_string(a.load.busiest_key)},
-                                              {"busiest_key_per_s", std::to_string(std::lround(a.load.busiest_rate))},
-                                              {"if_revision", std::to_string(a.if_revision)}});
+    telemetry::log(event::key_table_written,
+                   {{"service", m_service},
+                    {"term", std::to_string(a.table.term)},
+                    {"last_fence", std::to_string(a.table.last_fence)},
+                    {"runs", std::to_string(a.table.runs.size())},
+                    {"moves", std::to_string(a.moves)},
+                    {"load_per_s", std::to_string(std::lround(a.load.total))},
+                    {"mean_load_percent", percent(a.load.mean_utilization)},
+                    {"most_load_percent", percent(a.load.most_utilization)},
+                    {"hottest", a.load.hottest.id},
+                    {"hottest_capacity_per_s", std::to_string(std::lround(a.load.hottest_capacity))},
+                    {"most_capacity_per_s", std::to_string(std::lround(a.load.most_capacity))},
+                    {"busiest_key", std::to_string(a.load.busiest_key)},
+                    {"busiest_key_per_s", std::to_string(std::lround(a.load.busiest_rate))},
+                    {"if_revision", std::to_string(a.if_revision)}});
     m_words.store().write(key_table_kind, m_service, core::to_json(a.table), a.if_revision,
                           [self = shared_from_this()](store_result<std::uint64_t> answer) {
-                              self->m_coordinator.table_written(answer ? write_outcome::done : outcome_of(answer.error()),
+                              self->m_coordinator.table_written(answer ? write_outcome::done
+                                                                       : outcome_of(answer.error()),
                                                                 answer ? *answer : 0, now());
                               self->step();
                           });
@@ -327,7 +356,8 @@
             telemetry::log(event::backend_ended, {{"server", a.to.id}, {"service", self->m_service}});
         }
         const auto handover = result.reply.headers[self->m_words.headers().handover];
-        self->m_coordinator.release_ended(a.order, outcome, std::string(handover.data(), handover.size()), now());
+        self->m_coordinator.release_ended(a.order, outcome, std::string(handover.data(), handover.size()),
+                                          now());
         self->step();
         return true;
     });
--- a/src/libbalsampost_entry/kind_watch.cpp
+++ b/src/libbalsampost_entry/kind_watch.cpp
@@ -11,16 +11,17 @@
 
 // A watch that hears nothing ends after this; the connection's own probes find silence sooner.
 constexpr core::milliseconds longest_wait{20'000};
-// After changes, before the next call: those that follow closely come in one answer. Small beside the bounds within
-// which a change must be acted on.
-constexpr core::milliseconds batch_pause{120};
+// After changes, before the next call: those that follow closely come in one answer. Small beside the bounds
+// within which a change must be acted on.
+constexpr core::milliseconds batch_pause{300};
 constexpr core::milliseconds first_pause{100}; // After a failed call; doubled up to the longest.
 constexpr core::milliseconds longest_pause{800};
 
 } // namespace
 
 const char* to_string(store_fault fault) {
-    constexpr const char* names[] = {"conflict", "history_gone", "refused", "not_sent", "unknown", "malformed"};
+    constexpr const char* names[] = {"conflict", "history_gone", "refused",
+                                     "not_sent", "unknown",      "malformed"};
     return names[static_cast<std::size_t>(fault)];
 }
 
@@ -43,30 +44,31 @@
 }
 
 void kind_watch::watch() {
-    m_store.watch(m_kind, m_revision, longest_wait, [self = shared_from_this()](store_result<object_changes> answer) {
-        if (self->m_stopped) {
-            return;
-        }
-        if (!answer) {
-            self->failed(answer.error(), answer.error() == store_fault::history_gone);
-            return;
-        }
-        self->succeeded();
-        self->m_revision = std::max(self->m_revision, answer->revision);
-        for (const auto& change : answer->changes) {
-            self->m_handlers.changed(change);
-        }
-        if (answer->changes.empty()) {
-            self->watch();
-            return;
-        }
-        self->m_handlers.settled();
-        self->m_timers.at(now() + batch_pause, [self] {
-            if (!self->m_stopped) {
-                self->watch();
-            }
-        });
-    });
+    m_store.watch(m_kind, m_revision, longest_wait,
+                  [self = shared_from_this()](store_result<object_changes> answer) {
+                      if (self->m_stopped) {
+                          return;
+                      }
+                      if (!answer) {
+                          self->failed(answer.error(), answer.error() == store_fault::history_gone);
+                          return;
+                      }
+                      self->succeeded();
+                      self->m_revision = std::max(self->m_revision, answer->revision);
+                      for (const auto& change : answer->changes) {
+                          self->m_handlers.changed(change);
+                      }
+                      if (answer->changes.empty()) {
+                          self->watch();
+                          return;
+                      }
+                      self->m_handlers.settled();
+                      self->m_timers.at(now() + batch_pause, [self] {
+                          if (!self->m_stopped) {
+                              self->watch();
+                          }
+                      });
+                  });
 }
 
 void kind_watch::succeeded() {
@@ -74,7 +76,8 @@
     if (m_out_since != core::never) {
         const auto out = std::chrono::duration_cast<core::milliseconds>(now() - m_out_since);
         m_out_since = core::never;
-        telemetry::log(telemetry::event::store_back, {{"kind", m_kind}, {"out_ms", std::to_string(out.count())}});
+        telemetry::log(telemetry::event::store_back,
+                       {{"kind", m_kind}, {"out_ms", std::to_string(out.count())}});
         m_handlers.returned(out);
     }
 }
@@ -84,13 +87,15 @@
     if (!gone) {
         if (m_out_since == core::never) {
             m_out_since = now();
-            telemetry::log(telemetry::event::store_unavailable, {{"kind", m_kind}, {"fault", to_string(fault)}});
+            telemetry::log(telemetry::event::store_unavailable,
+                           {{"kind", m_kind}, {"fault", to_string(fault)}});
             m_handlers.lost(fault);
         }
         ++m_failures;
     }
-    const auto pause = gone ? core::milliseconds{0}
-                            : std::min(longest_pause, first_pause * (1U << std::min<std::uint32_t>(m_failures - 1, 3)));
+    const auto pause =
+        gone ? core::milliseconds{0}
+             : std::min(longest_pause, first_pause * (1U << std::min<std::uint32_t>(m_failures - 1, 3)));
     m_timers.at(now() + pause, [self = shared_from_this(), again_from_list] {
         if (self->m_stopped) {
             return;
--- a/src/libbalsampost_entry/settings.cpp
+++ b/src/libbalsampost_entry/settings.cpp
@@ -3,6 +3,8 @@
 
 #include <algorithm>
 #include <array>
+#include <charconv>
+#include <optional>
 #include <set>
 
 namespace balsampost::entry {
@@ -39,7 +41,9 @@
     {"repeat_window_ms", false, &bound_settings::repeat_window, 100, 600'000},
 }};
 
-const std::array<key_rule<resource_settings>, 2> resource_keys{{
+const std::array<key_rule<resource_settings>, 4> resource_keys{{
+    {"cpu_share", false, &resource_settings::cpu_share},
+    {"link_mbps", false, &resource_settings::link_mbps},
     {"memory_mb", false, &resource_settings::memory_mb, 32, 1'000'000},
     {"descriptors", false, &resource_settings::descriptors, 64, 10'000'000},
 }};
@@ -66,18 +70,49 @@
 };
 
 const std::array<section_rule, 7> section_rules{{
-    {"instance", true, [](const auto& s, auto& o, auto& f) { core::bind_section<instance_settings>(s, instance_keys, o.instance, f); }},
-    {"listen", true, [](const auto& s, auto& o, auto& f) { core::bind_section<listen_settings>(s, listen_keys, o.listen, f); }},
-    {"store", true, [](const auto& s, auto& o, auto& f) { core::bind_section<store_settings>(s, store_keys, o.store, f); }},
-    {"bounds", false, [](const auto& s, auto& o, auto& f) { core::bind_section<bound_settings>(s, bound_keys, o.bounds, f); }},
-    {"resources", false, [](const auto& s, auto& o, auto& f) { core::bind_section<resource_settings>(s, resource_keys, o.resources, f); }},
-    {"log", false, [](const auto& s, auto& o, auto& f) { core::bind_section<log_settings>(s, log_keys, o.log, f); }},
+    {"instance", true,
+     [](const auto& s, auto& o, auto& f) {
+         core::bind_section<instance_settings>(s, instance_keys, o.instance, f);
+     }},
+    {"listen", true,
+     [](const auto& s, auto& o, auto& f) {
+         core::bind_section<listen_settings>(s, listen_keys, o.listen, f);
+     }},
+    {"store", true,
+     [](const auto& s, auto& o, auto& f) { core::bind_section<store_settings>(s, store_keys, o.store, f); }},
+    {"bounds", false,
+     [](const auto& s, auto& o, auto& f) { core::bind_section<bound_settings>(s, bound_keys, o.bounds, f); }},
+    {"resources", false,
+     [](const auto& s, auto& o, auto& f) {
+         core::bind_section<resource_settings>(s, resource_keys, o.resources, f);
+     }},
+    {"log", false,
+     [](const auto& s, auto& o, auto& f) { core::bind_section<log_settings>(s, log_keys, o.log, f); }},
     {"regions", true, bind_regions},
 }};
 
+/// A decimal number above 0; nothing otherwise.
+std::optional<double> positive(const std::string& text) {
+    double value = 0;
+    const auto* end = text.data() + text.size();
+    const auto parsed = std::from_chars(text.data(), end, value);
+    return parsed.ec == std::errc{} && parsed.ptr == end && value > 0 ? std::optional(value) : std::nullopt;
+}
+
+// A coordinator of many instances is well off with this much.
+constexpr double ample_cpu_share = 0.2;
+constexpr double ample_link_mbps = 100;
+
 } // namespace
 
-tl::expected<settings, std::vector<core::ini_fault>> parse_settings(const std::string& text, const std::string& file) {
+double resource_settings::weakness() const {
+    const double cpu = std::min(1.0, positive(cpu_share).value_or(1.0) / ample_cpu_share);
+    const double link = std::min(1.0, positive(link_mbps).value_or(ample_link_mbps) / ample_link_mbps);
+    return 1 - std::min(cpu, link);
+}
+
+tl::expected<settings, std::vector<core::ini_fault>> parse_settings(const std::string& text,
+                                                                    const std::string& file) {
     const auto parsed = core::parse_ini(text, file);
     if (!parsed) {
         return tl::unexpected(std::vector{parsed.error()});
@@ -101,7 +136,16 @@
         }
     }
     if (std::find(level_names.begin(), level_names.end(), out.log.level) == level_names.end()) {
-        faults.push_back({file, "log", "level", "'" + out.log.level + "' is none of debug, info, warning, error"});
+        faults.push_back(
+            {file, "log", "level", "'" + out.log.level + "' is none of debug, info, warning, error"});
+    }
+    if (!positive(out.resources.cpu_share)) {
+        faults.push_back(
+            {file, "resources", "cpu_share", "'" + out.resources.cpu_share + "' is not a number above 0"});
+    }
+    if (!positive(out.resources.link_mbps)) {
+        faults.push_back(
+            {file, "resources", "link_mbps", "'" + out.resources.link_mbps + "' is not a number above 0"});
     }
     if (present.contains("instance") && present.contains("regions") &&
         !out.regions.contains(out.instance.failure_domain)) {
--- a/src/libbalsampost_entry/traffic_state.cpp
+++ b/src/libbalsampost_entry/traffic_state.cpp
@@ -27,7 +27,13 @@
             found = m_services
                         .emplace(name, service_state{core::server_pool({}, m_settings.instance.failure_domain,
                                                                        m_settings.regions),
-                                                     core::repeat_budget(limits), {}, {}, nullptr, service.keyed})
+                                                     core::repeat_budget(limits),
+                                                     {},
+                                                     {},
+                                                     nullptr,
+                                                     service.keyed,
+                                                     {},
+                                                     core::never})
                         .first;
         }
         found->second.keyed = service.keyed;
