--- a/src/include/balsampost/core/key_coordinator.h
+++ b/src/include/balsampost/core/key_coordinator.h
@@ -160,6 +160,10 @@
     std::uint64_t tenure_revision() const { return m_tenure_revision; }
     /// The holder itself said that its record has this revision.
     void tenure_heard(std::uint64_t revision, time_point now);
+    /// The store does not answer as it should; a tenure given up now would not be seen.
+    bool store_falters() const { return m_store_falters; }
+    /// The holder has given its tenure up: look at once.
+    void holder_resigned(time_point now) { m_poll_at = now; }
     /// Gives the tenure up, for a planned stop; nothing is ordered after it.
     std::optional<write_tenure> resign(time_point now);
     /// Whether grants of `which` on any key may still run at `now`.
--- a/src/include/balsampost/entry/key_service.h
+++ b/src/include/balsampost/entry/key_service.h
@@ -42,8 +42,10 @@
     /// Runs what is due and sets the next timer.
     void step();
     void stop() { m_stopped = true; }
-    /// Gives the tenure up for a planned stop.
-    void resign();
+    /// Gives the tenure up for a planned stop. While the store does not take it, the coordinator goes on: nobody else
+    /// could begin.
+    void resign(std::function<void()> given_up);
+    void holder_resigned();
     bool leads() const { return m_coordinator.leads(now()); }
 
 private:
--- a/src/include/balsampost/entry/peer_exchange.h
+++ b/src/include/balsampost/entry/peer_exchange.h
@@ -35,6 +35,7 @@
 struct peer_news {
     std::string service;
     std::uint64_t tenure_revision = 0; ///< Of the coordinator's last renewal that succeeded.
+    bool resigned = false;             ///< The sender has given its tenure up.
     std::uint32_t instances = 0;       ///< That report to it, itself included.
     table_version version;
     table_version base; ///< What `table` changes: it makes `version` out of it and of all versions between.
@@ -44,7 +45,7 @@
     /// send them.
     std::vector<std::pair<std::string, std::uint32_t>> admit_permille;
 
-    MSGPACK_DEFINE(service, tenure_revision, instances, version, base, table, admit_permille);
+    MSGPACK_DEFINE(service, tenure_revision, resigned, instances, version, base, table, admit_permille);
 };
 
 /// A compact form of a key table without the servers' addresses, for one datagram. Its runs need not cover
--- a/src/libbalsampost_entry/entry.cpp
+++ b/src/libbalsampost_entry/entry.cpp
@@ -386,6 +386,13 @@
 
 void entry::told(const peer_news& news) {
     auto& known = m_tables[news.service];
+    if (news.resigned) {
+        const auto runner = m_key_services.find(news.service);
+        if (runner != m_key_services.end()) {
+            runner->second->holder_resigned();
+        }
+        return;
+    }
     if (news.version < known.version) {
         return; // Of a coordinator that has been replaced.
     }
@@ -444,7 +451,15 @@
     m_stop_at = now() + m_settings.bounds.stop_time - stop_margin;
     m_callers.begin_stop();
     for (const auto& [name, runner] : m_key_services) {
-        runner->resign();
+        runner->resign([this, name = name] {
+            peer_news news;
+            news.service = name;
+            news.resigned = true;
+            news.instances = m_state.instances();
+            for (const auto& [instance, r] : m_reporters) {
+                m_peers.send(r.at, news);
+            }
+        });
     }
     const auto balancer_gone = now() + std::min(balancer_leaves, m_settings.bounds.stop_time / 2 + stop_poll);
     m_timers.at(balancer_gone, [this] { finish_stop(); });
--- a/src/libbalsampost_entry/key_service.cpp
+++ b/src/libbalsampost_entry/key_service.cpp
@@ -20,6 +20,7 @@
 constexpr core::milliseconds grant_time{400};
 constexpr core::milliseconds release_time{1'500};
 constexpr core::milliseconds probe_time{200};
+constexpr core::milliseconds resign_pause{200}; // Between tries to give a tenure up.
 constexpr std::size_t most_history = 12; // Versions; more come in a second only while keys run hot.
 constexpr char run_separator = '@';
 
@@ -216,20 +217,33 @@
     });
 }
 
-void key_service::resign() {
+void key_service::resign(std::function<void()> given_up) {
+    if (m_coordinator.leads(now()) && m_coordinator.store_falters()) {
+        m_timers.at(now() + resign_pause, [self = shared_from_this(), given_up = std::move(given_up)] {
+            self->resign(given_up);
+        });
+        return;
+    }
     const auto write = m_coordinator.resign(now());
     m_stopped = true;
-    if (write) {
-        m_words.store().write(
-            tenure_kind, m_service, core::to_json(write->record), write->if_revision,
-            [](store_result<std::uint64_t> answer) {
-                if (!answer) {
-                    // The next coordinator waits for the tenure to run out.
-                    telemetry::log(event::store_unavailable,
-                                   {{"kind", tenure_kind}, {"fault", entry::to_string(answer.error())}});
-                }
-            });
+    if (!write) {
+        return;
     }
+    m_words.store().write(tenure_kind, m_service, core::to_json(write->record), write->if_revision,
+                          [given_up = std::move(given_up)](store_result<std::uint64_t> answer) {
+                              if (answer) {
+                                  given_up();
+                                  return;
+                              }
+                              // The next coordinator waits for the tenure to run out.
+                              telemetry::log(event::store_unavailable,
+                                             {{"kind", tenure_kind}, {"fault", entry::to_string(answer.error())}});
+                          });
+}
+
+void key_service::holder_resigned() {
+    m_coordinator.holder_resigned(now());
+    step();
 }
 
 void key_service::tenure_arrived(const store_result<std::optional<stored_object>>& answer) {
