core, entry: orders name the server they are for; a server that lost all connections gets new tokens; short watches after a failure

Change: grants and releases carry the id of the server they are for; when all connections to a server were lost, its runs go under new tokens before the next grant, and a server that starts again under its id gets its own keys back; watches are 1.2 s long for 8 s after a failure.

--- a/src/include/balsampost/core/key_coordinator.h
+++ b/src/include/balsampost/core/key_coordinator.h
@@ -122,6 +122,9 @@
     /// Servers of the service that are fit to own keys, and the ids that are listed at all.
     void update_servers(const std::vector<const backend*>& listed, time_point now);
     void server_ended(const incarnation& which);
+    /// Every connection to the server was lost: it may have started anew under its id. What it is granted from now on
+    /// goes under new tokens.
+    void server_doubtful(const incarnation& which);
     /// No request runs longer at a server than this: the longest timeout of the service's routes.
     void limit_work(milliseconds longest) { m_settings.longest_work = longest; }
     /// The process that was this instance id has ended for certain.
@@ -174,6 +177,7 @@
         time_point renew_at = never;      // The next grant is due then.
         std::uint64_t order = 0;          // Of the grant under way; 0: none.
         bool granted = false;             // This run was granted as it stands.
+        bool refence = false;              // Not to be granted under this token any more.
         milliseconds hold{0};             // Of the last grant that was answered.
         time_point failing_since = never; // First of the last row of grants without an answer.
         std::string handover;
--- a/src/include/balsampost/entry/key_service.h
+++ b/src/include/balsampost/entry/key_service.h
@@ -57,7 +57,7 @@
     void run(const core::send_release& a);
     void probe(const std::string& server_id);
     void tenure_arrived(const store_result<std::optional<stored_object>>& answer);
-    exchange_request order_request(const core::endpoint& at, const encoded_call& call) const;
+    exchange_request order_request(const std::string& server, const core::endpoint& at, const encoded_call& call) const;
 
     platform& m_words;
     http_client& m_orders;
@@ -68,6 +68,7 @@
     std::string m_instance_name; // The same in each run.
     core::key_coordinator m_coordinator;
     std::map<std::string, core::backend> m_listed; // By id.
+    std::set<core::incarnation> m_contacted;       // Servers that have taken a grant of this instance.
     std::set<std::string> m_probed;                // Ids of servers being probed.
     std::optional<timers::id> m_timer;
     core::time_point m_timer_at{};
--- a/src/include/balsampost/entry/kind_watch.h
+++ b/src/include/balsampost/entry/kind_watch.h
@@ -44,6 +44,7 @@
     bool m_stopped = false;
     core::time_point m_out_since = core::never;
     std::uint32_t m_failures = 0; // In a row.
+    core::time_point m_careful_until = core::never;
 };
 
 } // namespace balsampost::entry
--- a/src/libbalsampost_core/key_coordinator.cpp
+++ b/src/libbalsampost_core/key_coordinator.cpp
@@ -51,10 +51,16 @@
 void key_coordinator::end_replaced() {
     for (const auto& [id, b] : m_servers) {
         for (const auto& [old, address] : m_addresses) {
-            const bool same_place = old.id == id.id || address == b.address;
-            if (same_place && old.born_ms < id.born_ms) {
-                server_ended(old);
+            if (old.born_ms >= id.born_ms || ended(old) || (old.id != id.id && address != b.address)) {
+                continue;
+            }
+            if (old.id == id.id) {
+                // Grants meant for the earlier one may have reached this one.
+                for (auto& h : m_holds) {
+                    h.server = h.server == old ? id : h.server;
+                }
             }
+            server_ended(old);
         }
     }
 }
@@ -71,6 +77,17 @@
     m_speeds.add(r);
 }
 
+void key_coordinator::server_doubtful(const incarnation& which) {
+    for (const auto& run : m_view.runs) {
+        if (run.owner == which) {
+            auto& s = m_runs[{run.from, run.to, run.fence}];
+            if (!std::exchange(s.refence, true)) {
+                m_fenced.push_back({run.from, run.to, which, false});
+            }
+        }
+    }
+}
+
 bool key_coordinator::fit(const incarnation& which) const {
     const auto found = m_servers.find(which);
     return found != m_servers.end() && !found->second.draining && !ended(which) && !m_lapsed.contains(which);
@@ -479,15 +496,13 @@
 // Orders
 
 bool key_coordinator::may_hold(const incarnation& which, shard_key from, shard_key to, time_point now) const {
-    if (ended(which)) {
-        return false;
-    }
     const auto unknown = m_unknown_holds.find(which);
     if (unknown != m_unknown_holds.end() && now < unknown->second) {
         return true;
     }
     return std::any_of(m_holds.begin(), m_holds.end(), [&](const possible_hold& h) {
-        return h.server == which && h.from <= to && from <= h.to && now < h.until;
+        const bool same = h.server == which || (h.server.id == which.id && ended(which));
+        return same && h.from <= to && from <= h.to && now < h.until;
     });
 }
 
@@ -546,6 +561,9 @@
 
 bool key_coordinator::cleared(const incarnation& previous, const key_run& run, const run_state& s,
                               time_point now) const {
+    if (previous.id == run.owner.id && ended(previous)) {
+        return true; // Whatever reached the address since its restart reached the owner.
+    }
     const auto released = s.released.find(previous);
     if (released != s.released.end() && now >= released->second) {
         return true;
@@ -586,7 +604,7 @@
             m_orders[order] = {{run.from, run.to, run.fence}, p, milliseconds{0}, now};
             out.emplace_back(send_release{order, p, address_of(p), run.from, run.to, run.fence});
         }
-        if (run.owner.empty() || ended(run.owner) || s.order != 0 || !m_addresses.contains(run.owner) ||
+        if (run.owner.empty() || ended(run.owner) || s.order != 0 || s.refence || !m_addresses.contains(run.owner) ||
             busy(run.owner)) {
             continue;
         }
--- a/src/libbalsampost_core/key_coordinator_test.cpp
+++ b/src/libbalsampost_core/key_coordinator_test.cpp
@@ -148,6 +148,8 @@
     CPPUNIT_TEST(silent_server_is_waited_out);
     CPPUNIT_TEST(ended_server_is_not_waited_for);
     CPPUNIT_TEST(restart_under_the_same_id_takes_a_higher_token);
+    CPPUNIT_TEST(restarted_server_keeps_its_keys_under_new_tokens);
+    CPPUNIT_TEST(doubtful_server_is_granted_under_new_tokens_only);
     CPPUNIT_TEST(lost_table_write_is_read_before_the_next_order);
     CPPUNIT_TEST(fenced_grant_is_sent_again_under_a_higher_token);
     CPPUNIT_TEST_SUITE_END();
@@ -312,6 +314,35 @@
         CPPUNIT_ASSERT(std::none_of(w.grants.begin(), w.grants.end(), [&](const auto& g) { return g.to == old; }));
     }
 
+    /// Grants meant for a server may reach the one that started under its id: its keys must not go elsewhere at once.
+    void restarted_server_keeps_its_keys_under_new_tokens() {
+        auto w = with_servers(3);
+        auto c = coordinator("a@1");
+        c.update_servers(w.listed(), w.now);
+        w.run(c, seconds{3});
+        w.servers[0].self.born_ms += 5;
+        c.update_servers(w.listed(), w.now);
+        w.run(c, milliseconds{100});
+        CPPUNIT_ASSERT(std::any_of(c.view().runs.begin(), c.view().runs.end(),
+                                   [&](const auto& r) { return r.owner == w.servers[0].self; }));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, c.view().runs.size());
+    }
+
+    void doubtful_server_is_granted_under_new_tokens_only() {
+        auto w = with_servers(2);
+        auto c = coordinator("a@1");
+        c.update_servers(w.listed(), w.now);
+        w.run(c, seconds{3});
+        const auto before = c.table().last_fence;
+        c.server_doubtful(w.servers[0].self);
+        w.grants.clear();
+        w.run(c, seconds{2});
+        CPPUNIT_ASSERT(w.grants_to("s0") > 0);
+        for (const auto& g : w.grants) {
+            CPPUNIT_ASSERT(g.to.id != "s0" || g.fence > before);
+        }
+    }
+
     void lost_table_write_is_read_before_the_next_order() {
         auto w = with_servers(3);
         auto c = coordinator("a@1");
--- a/src/libbalsampost_core/key_plan.cpp
+++ b/src/libbalsampost_core/key_plan.cpp
@@ -178,6 +178,15 @@
         if (loads.contains(run.owner)) {
             continue;
         }
+        // What a server had goes to the one that started under its id: grants may have reached it already.
+        const auto again = std::find_if(servers.begin(), servers.end(), [&](const key_server& s) {
+            return !run.owner.empty() && s.self.id == run.owner.id;
+        });
+        if (again != servers.end()) {
+            loads[again->self].load += load_of(rates, run.from, run.to);
+            moves.push_back({run.from, run.to, again->self, false});
+            continue;
+        }
         // A large run is shared out, so that one server's loss does not double another's load.
         const auto pieces =
             static_cast<shard_key>(std::clamp(std::lround(4 * run.size() / fair), 1L,
--- a/src/libbalsampost_entry/key_service.cpp
+++ b/src/libbalsampost_entry/key_service.cpp
@@ -16,6 +16,7 @@
 
 constexpr unsigned status_ok = 200;
 constexpr unsigned status_conflict = 409;
+constexpr unsigned status_misdirected = 421;
 // A grant is answered at once; a release when the work on its keys has ended.
 constexpr core::milliseconds grant_time{400};
 constexpr core::milliseconds release_time{1'500};
@@ -48,6 +49,9 @@
     case exchange_end::answered:
         break;
     }
+    if (result.reply.status == status_misdirected) {
+        return order_outcome::not_sent; // Another server has the address; the one that was meant got nothing.
+    }
     return result.reply.status == status_ok         ? order_outcome::done
            : result.reply.status == status_conflict ? order_outcome::fenced
                                                     : order_outcome::invalid;
@@ -332,21 +336,32 @@
                           });
 }
 
-exchange_request key_service::order_request(const core::endpoint& at, const encoded_call& call) const {
+exchange_request key_service::order_request(const std::string& server, const core::endpoint& at,
+                                            const encoded_call& call) const {
     exchange_request request;
     request.head = call.method + " " + call.target + " HTTP/1.1\r\nHost: " + core::to_string(at) +
-                   "\r\nContent-Type: " + call.content_type +
+                   "\r\n" + m_words.headers().expected_server + ": " + server + "\r\nContent-Type: " + call.content_type +
                    "\r\nContent-Length: " + std::to_string(call.body.size()) + "\r\n\r\n";
     request.body = std::make_shared<const std::string>(call.body);
     return request;
 }
 
 void key_service::run(const core::send_grant& a) {
-    auto request = order_request(a.at, m_words.encode(a));
+    if (m_contacted.contains(a.to) && m_orders.connections_to(a.at) == 0) {
+        m_contacted.erase(a.to);
+        m_coordinator.server_doubtful(a.to);
+        m_coordinator.grant_ended(a.order, order_outcome::not_sent, now());
+        m_again = true;
+        return;
+    }
+    auto request = order_request(a.to.id, a.at, m_words.encode(a));
     request.deadline = now() + grant_time;
     m_orders.start(a.at, std::move(request), [self = shared_from_this(), a](exchange_result& result) {
         const auto outcome = outcome_of(result);
         self->m_measured.order(outcome == order_outcome::done);
+        if (outcome == order_outcome::done) {
+            self->m_contacted.insert(a.to);
+        }
         log_order("grant", a.to, a.from, a.last, a.fence, outcome, result);
         if (result.refused) {
             self->m_coordinator.server_ended(a.to);
@@ -359,7 +374,7 @@
 }
 
 void key_service::run(const core::send_release& a) {
-    auto request = order_request(a.at, m_words.encode(a));
+    auto request = order_request(a.to.id, a.at, m_words.encode(a));
     request.deadline = now() + release_time;
     m_orders.start(a.at, std::move(request), [self = shared_from_this(), a](exchange_result& result) {
         const auto outcome = outcome_of(result);
--- a/src/libbalsampost_entry/kind_watch.cpp
+++ b/src/libbalsampost_entry/kind_watch.cpp
@@ -11,6 +11,10 @@
 
 // A watch that hears nothing ends after this; the connection's own probes find silence sooner.
 constexpr core::milliseconds longest_wait{20'000};
+// After a failure a call may have been lost on the way, which nothing but its own end shows: for a while calls are
+// short, so that news is no later than the bounds allow.
+constexpr core::milliseconds careful_wait{1'200};
+constexpr core::milliseconds careful_time{8'000};
 // After changes, before the next call: those that follow closely come in one answer. Small beside the bounds
 // within which a change must be acted on.
 constexpr core::milliseconds batch_pause{300};
@@ -44,7 +48,8 @@
 }
 
 void kind_watch::watch() {
-    m_store.watch(m_kind, m_revision, longest_wait,
+    const auto wait = now() < m_careful_until ? careful_wait : longest_wait;
+    m_store.watch(m_kind, m_revision, wait,
                   [self = shared_from_this()](store_result<object_changes> answer) {
                       if (self->m_stopped) {
                           return;
@@ -84,6 +89,7 @@
 
 void kind_watch::failed(store_fault fault, bool again_from_list) {
     const bool gone = fault == store_fault::history_gone;
+    m_careful_until = now() + careful_time;
     if (!gone) {
         if (m_out_since == core::never) {
             m_out_since = now();
