--- /dev/null
+++ b/src/libbalsampost_entry/entry_test.cpp
@@ -0,0 +1,322 @@
+// The HTTP client and the forwarding of requests against backend servers that answer by script: every point at which a
+// connection can fail, and what the caller is told. Also the settings, and the news between instances.
+#include "balsampost/entry/entry_metrics.h"
+#include "balsampost/entry/forwarding.h"
+#include "balsampost/entry/peer_exchange.h"
+#include "balsampost/entry/settings.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <array>
+#include <deque>
+
+namespace balsampost::entry {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/// Answers requests by the lines of a script, over all connections. "close" closes, "reset" resets, "silence" leaves
+/// the request without an answer. `ID` stands for the id of the request.
+class scripted_backend {
+public:
+    scripted_backend(net::asio::io_context& context, std::deque<std::string> script)
+        : m_acceptor(net::listen_on(context, {"127.0.0.1", 0})), m_script(std::move(script)) {
+        accept();
+    }
+    core::endpoint at() const { return {"127.0.0.1", m_acceptor.local_endpoint().port()}; }
+    int requests() const { return m_requests; }
+    const std::string& last() const { return m_last; }
+
+private:
+    struct session : std::enable_shared_from_this<session> {
+        session(scripted_backend& o, net::tcp::socket s) : owner(o), socket(std::move(s)) {}
+        void read() {
+            socket.async_read_some(net::asio::buffer(buffer), [self = shared_from_this()](auto ec, std::size_t n) {
+                if (ec) {
+                    return;
+                }
+                auto& o = self->owner;
+                ++o.m_requests;
+                o.m_last.assign(self->buffer.data(), n);
+                auto line = o.m_script.empty() ? std::string("close") : o.m_script.front();
+                if (!o.m_script.empty()) {
+                    o.m_script.pop_front();
+                }
+                net::error_code ignored;
+                if (line == "reset") {
+                    self->socket.set_option(net::asio::socket_base::linger(true, 0), ignored);
+                }
+                if (line == "close" || line == "reset") {
+                    self->socket.close(ignored);
+                    return;
+                }
+                bool end = false;
+                if (line.ends_with("|close")) {
+                    line.resize(line.size() - 6);
+                    end = true;
+                }
+                if (const auto at = line.find("ID"); at != std::string::npos) {
+                    line.replace(at, 2, "req-1");
+                }
+                if (line != "silence") {
+                    net::asio::write(self->socket, net::asio::buffer(line), ignored);
+                }
+                if (end) {
+                    self->socket.close(ignored);
+                    return;
+                }
+                self->read();
+            });
+        }
+        scripted_backend& owner;
+        net::tcp::socket socket;
+        std::array<char, 8192> buffer{};
+    };
+    void accept() {
+        m_acceptor.async_accept([this](auto ec, net::tcp::socket s) {
+            if (!ec) {
+                std::make_shared<session>(*this, std::move(s))->read();
+                accept();
+            }
+        });
+    }
+    net::tcp::acceptor m_acceptor;
+    std::deque<std::string> m_script;
+    int m_requests = 0;
+    std::string m_last;
+};
+
+/// A platform of plain words; its store is not used here.
+class plain_platform : public platform {
+public:
+    object_store& store() override { std::abort(); }
+    const platform_kinds& kinds() const override { return m_kinds; }
+    const header_names& headers() const override { return m_names; }
+    core::result<core::backend> decode_backend(const stored_object&) const override { return core::backend{}; }
+    core::result<core::manifest> decode_manifest(const stored_object&) const override { return core::manifest{}; }
+    std::optional<core::load_report> decode_load(std::string_view) const override { return std::nullopt; }
+    encoded_call encode(const core::send_grant&) const override { return {}; }
+    encoded_call encode(const core::send_release&) const override { return {}; }
+
+private:
+    platform_kinds m_kinds;
+    header_names m_names{"Request-Id", "Deadline-Ms", "Shard-Key", "Expected", "Not-Run", "Load", "Integrity", "Handover"};
+};
+
+const char* const good = "HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nIntegrity: x\r\nContent-Length: 2\r\n\r\nok";
+const char* const shed = "HTTP/1.1 503 X\r\nRequest-Id: ID\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
+const char* const wrong_server = "HTTP/1.1 421 X\r\nRequest-Id: ID\r\nContent-Length: 0\r\n\r\n";
+const char* const own_failure = "HTTP/1.1 500 X\r\nRequest-Id: ID\r\nIntegrity: y\r\nContent-Length: 1\r\n\r\n!";
+const char* const plain_503 = "HTTP/1.1 503 X\r\nRequest-Id: ID\r\nContent-Length: 0\r\n\r\n";
+const char* const other_id = "HTTP/1.1 200 OK\r\nRequest-Id: other\r\nIntegrity: x\r\nContent-Length: 2\r\n\r\nno";
+const char* const no_integrity = "HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nContent-Length: 2\r\n\r\nno";
+const char* const truncated = "HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nIntegrity: x\r\nContent-Length: 9\r\n\r\nno|close";
+const char* const garbage = "what is this\r\n\r\n";
+const char* const extra = "HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nIntegrity: x\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\n";
+const char* const by_close = "HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nIntegrity: x\r\n\r\nok|close";
+const char* const chunked = "HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nIntegrity: x\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n";
+const char* const continues = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nRequest-Id: ID\r\nIntegrity: x\r\nContent-Length: 2\r\n\r\nok";
+
+struct outcome {
+    caller_answer answer;
+    int requests = 0;
+    int answers = 0;
+    std::string seen; // The last request that a server saw.
+};
+
+settings test_settings() {
+    settings s;
+    s.instance = {"i", "r", "d", "127.0.0.1"};
+    s.regions = {{"d", "r"}};
+    return s;
+}
+
+/// Forwards one request to two servers that share a script.
+outcome forward(std::deque<std::string> script, core::repeatability repeats, const std::string& host = "h",
+                bool listening = true) {
+    net::asio::io_context context{1};
+    timers clock(context);
+    http_client client(context, clock, {});
+    const auto config = test_settings();
+    plain_platform words;
+    entry_metrics measured;
+    traffic_state state(config);
+    scripted_backend server(context, std::move(script));
+    core::manifest m;
+    m.version = 1;
+    m.services["s"] = {"s", 100, false};
+    core::route r;
+    r.name = "r";
+    r.host = "h";
+    r.path_prefix = "/";
+    r.repeats = repeats;
+    r.timeout = 300ms;
+    r.target_latency = 300ms;
+    r.most_servers = 2;
+    r.parts = {{"s", 1}};
+    m.routes = {r};
+    for (const auto* id : {"one", "two"}) {
+        core::backend b;
+        b.self = {id, 1};
+        b.service = "s";
+        b.address = listening ? server.at() : core::endpoint{"127.0.0.1", 1};
+        b.failure_domain = "d";
+        b.slots = 4;
+        state.directory().put(b, now());
+    }
+    state.set_manifest(m);
+    caller_request request;
+    request.method = repeats == core::repeatability::idempotent ? "GET" : "POST";
+    request.target = "/x?y=1";
+    request.headers.set("Host", host);
+    request.headers.set("Request-Id", "req-1");
+    request.headers.set("Deadline-Ms", "1000");
+    request.headers.set("Connection", "X-Hop");
+    request.headers.set("X-Hop", "1");
+    request.headers.set("X-Kept", "2");
+    request.arrived = now();
+    outcome out;
+    auto f = std::make_shared<forwarding>(forwarding_context{state, client, clock, words, measured}, std::move(request),
+                                          [&](caller_answer a) {
+                                              out.answer = std::move(a);
+                                              ++out.answers;
+                                              context.stop();
+                                          });
+    f->start();
+    if (out.answers == 0) {
+        context.run_for(5s);
+    }
+    out.requests = server.requests();
+    out.seen = server.last();
+    return out;
+}
+
+} // namespace
+
+class entry_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(entry_test);
+    CPPUNIT_TEST(outcomes_of_attempts);
+    CPPUNIT_TEST(what_is_passed_on);
+    CPPUNIT_TEST(unknown_hosts_and_no_manifest);
+    CPPUNIT_TEST(settings_faults_are_named);
+    CPPUNIT_TEST(tables_in_news);
+    CPPUNIT_TEST_SUITE_END();
+
+    /// For each way an attempt can end: what the caller of an idempotent request and of any other is told, and how many
+    /// requests reached servers. A status of 503 is a promise that the request did not run.
+    void outcomes_of_attempts() {
+        struct row {
+            const char* name;
+            std::string first;
+            unsigned idempotent;
+            int idempotent_requests;
+            unsigned once;
+            int once_requests;
+        };
+        const row rows[] = {
+            {"answered", good, 200, 1, 200, 1},
+            {"answered in chunks", chunked, 200, 1, 200, 1},
+            {"answered up to the close", by_close, 200, 1, 200, 1},
+            {"answered after a 100", continues, 200, 1, 200, 1},
+            {"bytes after the answer", extra, 200, 1, 200, 1},
+            {"shed", shed, 200, 2, 200, 2},
+            {"another server has the address", wrong_server, 200, 2, 200, 2},
+            {"the server's own failure", own_failure, 200, 2, 500, 1},
+            {"a 503 without the word that it did not run", plain_503, 200, 2, 503, 1},
+            {"another request's answer", other_id, 200, 2, 502, 1},
+            {"a success that is not the server's", no_integrity, 200, 2, 502, 1},
+            {"ends early", truncated, 200, 2, 502, 1},
+            {"no HTTP", garbage, 200, 2, 502, 1},
+            {"closed without an answer", "close", 200, 2, 502, 1},
+            {"reset without an answer", "reset", 200, 2, 502, 1},
+            {"silent to the end", "silence", 504, 1, 504, 1},
+        };
+        for (const auto& r : rows) {
+            const auto safe = forward({r.first, good}, core::repeatability::idempotent);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(r.name, r.idempotent, safe.answer.status);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(r.name, r.idempotent_requests, safe.requests);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(r.name, 1, safe.answers);
+            if (safe.answer.status == 200) {
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(r.name, std::string("ok"), safe.answer.body);
+            }
+            const auto once = forward({r.first, good}, core::repeatability::once);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(r.name, r.once, once.answer.status);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(r.name, r.once_requests, once.requests);
+        }
+        const auto refused = forward({}, core::repeatability::once, "h", false);
+        CPPUNIT_ASSERT_EQUAL(503U, refused.answer.status);
+        CPPUNIT_ASSERT(refused.answer.retry_after.has_value());
+    }
+
+    void what_is_passed_on() {
+        const auto out = forward({good}, core::repeatability::once);
+        CPPUNIT_ASSERT(out.seen.starts_with("POST /x?y=1 HTTP/1.1\r\n"));
+        for (const auto* kept : {"Host: h\r\n", "Request-Id: req-1\r\n", "X-Kept: 2\r\n", "Expected: "}) {
+            CPPUNIT_ASSERT_MESSAGE(kept, out.seen.find(kept) != std::string::npos);
+        }
+        CPPUNIT_ASSERT(out.seen.find("X-Hop") == std::string::npos);
+        CPPUNIT_ASSERT(out.seen.find("Deadline-Ms: 1000") == std::string::npos);
+        const auto at = out.seen.find("Deadline-Ms: ");
+        CPPUNIT_ASSERT(at != std::string::npos);
+        CPPUNIT_ASSERT(std::stoi(out.seen.substr(at + 13)) <= 300);
+    }
+
+    void unknown_hosts_and_no_manifest() {
+        CPPUNIT_ASSERT_EQUAL(404U, forward({good}, core::repeatability::once, "elsewhere").answer.status);
+        net::asio::io_context context{1};
+        timers clock(context);
+        http_client client(context, clock, {});
+        const auto config = test_settings();
+        plain_platform words;
+        entry_metrics measured;
+        traffic_state state(config);
+        unsigned status = 0;
+        std::make_shared<forwarding>(forwarding_context{state, client, clock, words, measured}, caller_request{},
+                                     [&](const caller_answer& a) { status = a.status; })
+            ->start();
+        CPPUNIT_ASSERT_EQUAL(503U, status);
+    }
+
+    void settings_faults_are_named() {
+        const std::string sound = "[instance]\nname = i\nregion = r\nfailure_domain = d\naddress = 10.0.0.1\n"
+                                  "[listen]\ncallers = 10.0.0.1:1\nreadiness = 10.0.0.1:2\npeers = 10.0.0.1:3\n"
+                                  "metrics = 10.0.0.1:4\n[store]\naddress = 10.0.0.2:1\n[regions]\nd = r\n";
+        CPPUNIT_ASSERT(parse_settings(sound, "f"));
+        struct row {
+            const char* added;
+            const char* expected;
+        };
+        const row rows[] = {
+            {"[odd]\n", "f: [odd]"},
+            {"[log]\nlevel = loud\n", "f: [log] level"},
+            {"[resources]\nmemory_mb = x\n", "f: [resources] memory_mb"},
+            {"[resources]\ncpu_share = 0\n", "f: [resources] cpu_share"},
+            {"[bounds]\nlongest_hold_ms = 1\n", "f: [bounds] longest_hold_ms"},
+        };
+        for (const auto& r : rows) {
+            const auto parsed = parse_settings(sound + r.added, "f");
+            CPPUNIT_ASSERT_MESSAGE(r.added, !parsed);
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, parsed.error().size());
+            CPPUNIT_ASSERT_MESSAGE(core::to_string(parsed.error()[0]), core::to_string(parsed.error()[0]).starts_with(r.expected));
+        }
+        const auto empty = parse_settings("", "f");
+        CPPUNIT_ASSERT(!empty && empty.error().size() == 4);
+    }
+
+    void tables_in_news() {
+        core::key_table table;
+        table.term = 3;
+        table.last_fence = 9;
+        table.coordinator = "c@1";
+        table.coordinator_at = {"10.0.0.1", 7};
+        table.runs = {{0, 99, {"a", 5}, 9, {}}, {100, core::key_count - 1, {"b", 6}, 8, {{"a", 5}}}};
+        const auto read = unpack_table(pack(table));
+        CPPUNIT_ASSERT(read && *read == table);
+        CPPUNIT_ASSERT(!unpack_table("") && !unpack_table("\x93\x01") && !unpack_table(std::string(64, 'x')));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(entry_test);
+
+} // namespace balsampost::entry
--- a/src/libbalsampost_entry/http_client.cpp
+++ b/src/libbalsampost_entry/http_client.cpp
@@ -207,9 +207,11 @@
             return;
         }
         if (ec == net::asio::error::eof) {
+            // The parser takes an end before the first byte for a whole message.
+            const bool begun = m_parser->got_some();
             error_code finished;
             m_parser->put_eof(finished);
-            if (!finished && m_parser->is_done() && m_parser->got_some()) {
+            if (begun && !finished && m_parser->is_done()) {
                 complete(false);
             } else {
                 fail("the response ended early", false);
--- a/testsuite/run.sh
+++ b/testsuite/run.sh
@@ -15,7 +15,7 @@
 # RapidCheck draws from a fixed seed, so that a run is the same every time.
 export RC_PARAMS="seed=20261204"
 if [ $# -eq 0 ]; then
-    for program in "$BUILD"/src/libbalsampost_*/*_test "$BUILD"/src/balsampostd/daemon_test; do
+    for program in "$BUILD"/src/libbalsampost_*/*_test "$BUILD"/src/balsampostd/daemon_test "$BUILD"/platform/adapter_test; do
         [ -x "$program" ] || continue
         "$program" > "$RESULTS/unit.txt" 2>&1
         counts=$(grep '^unit: ' "$RESULTS/unit.txt" | tail -n 1)
