--- a/src/include/balsampost/core/key_coordinator.h
+++ b/src/include/balsampost/core/key_coordinator.h
@@ -54,8 +54,8 @@
         1'200}; ///< The list of servers must not have grown for this long before the first plan.
     milliseconds latest_start{4'000}; ///< The first plan is made then at the latest.
     milliseconds plan_pause{400}; ///< Between plans that move keys for load; a plan's effect must show first.
-    milliseconds settle_pause{1'000}; ///< A completed move may be in the store this much later: a successor
-                                      ///< only releases once more what was released.
+    milliseconds settle_pause{1'000};  ///< A completed move may be in the store this much later: a successor
+                                       ///< only releases once more what was released.
     milliseconds retry_order{150};     ///< Before an order without an answer is sent again.
     milliseconds poll_tenure{600};     ///< Between looks at another holder's tenure, if it is not heard.
     milliseconds longest_work{10'000}; ///< That a request runs at a server.
@@ -122,8 +122,8 @@
     /// Servers of the service that are fit to own keys, and the ids that are listed at all.
     void update_servers(const std::vector<const backend*>& listed, time_point now);
     void server_ended(const incarnation& which);
-    /// Every connection to the server was lost: it may have started anew under its id. What it is granted from now on
-    /// goes under new tokens.
+    /// Every connection to the server was lost: it may have started anew under its id. What it is granted
+    /// from now on goes under new tokens.
     void server_doubtful(const incarnation& which);
     /// No request runs longer at a server than this: the longest timeout of the service's routes.
     void limit_work(milliseconds longest) { m_settings.longest_work = longest; }
@@ -177,7 +177,7 @@
         time_point renew_at = never;      // The next grant is due then.
         std::uint64_t order = 0;          // Of the grant under way; 0: none.
         bool granted = false;             // This run was granted as it stands.
-        bool refence = false;              // Not to be granted under this token any more.
+        bool refence = false;             // Not to be granted under this token any more.
         milliseconds hold{0};             // Of the last grant that was answered.
         time_point failing_since = never; // First of the last row of grants without an answer.
         std::string handover;
@@ -194,7 +194,8 @@
         shard_key to = 0;
         time_point
             until{}; // When it has certainly run out; `time_point::max()` while the grant is under way.
-        std::uint64_t order = 0; // The grant.
+        std::uint64_t order = 0; // The grant, and its token.
+        std::uint64_t fence = 0;
     };
 
     struct order_state {
@@ -220,7 +221,8 @@
     void end_hold(const order_state& o, std::uint64_t order, bool may_have_arrived, time_point now);
     bool release_under_way(const incarnation& server, shard_key from, shard_key to) const;
     bool doubtful(const incarnation& server, shard_key from, shard_key to, time_point now) const;
-    void forget_holds(const incarnation& which, shard_key from, shard_key to);
+    /// What `which` was granted of these keys under tokens up to `fence` is no more.
+    void forget_holds(const incarnation& which, shard_key from, shard_key to, std::uint64_t fence);
     void adopt(key_table table, std::uint64_t revision);
     void settle(const key_run& run, time_point now);
     void begin_tenure();
--- a/src/include/balsampost/entry/forwarding.h
+++ b/src/include/balsampost/entry/forwarding.h
@@ -51,7 +51,8 @@
 private:
     void next();
     void attempt(const std::string& server);
-    void attempt_ended(const core::backend& server, core::time_point sent, exchange_result& result, bool& reusable);
+    void attempt_ended(const core::backend& server, core::time_point sent, exchange_result& result,
+                       bool& reusable);
     /// What an answer says, if it is this request's at all.
     core::server_sign judge(const exchange_result& result) const;
     bool may_repeat() const;
@@ -77,7 +78,7 @@
     std::optional<timers::id> m_wait_timer;
     http_client::handle m_exchange;
     bool m_exchange_open = false;
-    std::string m_server;              // Of the open exchange.
+    std::string m_server; // Of the open exchange.
     core::time_point m_exchange_sent{};
     std::vector<std::string> m_sent_to; // Servers that it was sent to, the open one included.
     std::uint32_t m_arrivals = 0;       // Times that it may have reached a server.
@@ -87,8 +88,9 @@
     bool m_finished = false;
     bool m_waiting = false;
     core::time_point m_wait_until = core::never; // For an owner; set at the first wait.
-    std::uint64_t m_fence = 0;       // Of the key's run at the last attempt.
-    std::uint64_t m_stale_fence = 0; // A run of this token or below was refused by its owner: wait for a newer one.
+    std::uint64_t m_fence = 0;                   // Of the key's run at the last attempt.
+    std::uint64_t m_stale_fence =
+        0; // A run of this token or below was refused by its owner: wait for a newer one.
 };
 
 } // namespace balsampost::entry
--- a/src/include/balsampost/entry/http_client.h
+++ b/src/include/balsampost/entry/http_client.h
@@ -1,5 +1,5 @@
-// HTTP towards backend servers and the platform's store: one request at a time on a connection, connections kept and
-// used again while they are quiet. Tells exactly how far a request that failed had come.
+// HTTP towards backend servers and the platform's store: one request at a time on a connection, connections
+// kept and used again while they are quiet. Tells exactly how far a request that failed had come.
 #pragma once
 
 #include "balsampost/core/ini.h"
@@ -30,19 +30,19 @@
 
 struct exchange_result {
     exchange_end end = exchange_end::not_sent;
-    http_reply reply;        ///< Of `answered`.
-    std::string reason;      ///< Of the others: for the log.
-    bool refused = false;    ///< `not_sent` because nobody listens at the address.
-    bool timed_out = false;  ///< `not_sent` or `lost` because time ran out.
-    bool reused = false;     ///< The connection had served a request before.
+    http_reply reply;       ///< Of `answered`.
+    std::string reason;     ///< Of the others: for the log.
+    bool refused = false;   ///< `not_sent` because nobody listens at the address.
+    bool timed_out = false; ///< `not_sent` or `lost` because time ran out.
+    bool reused = false;    ///< The connection had served a request before.
 };
 
 struct exchange_request {
     std::string head;                        ///< Request line and headers, with the blank line.
     std::shared_ptr<const std::string> body; ///< May be null.
     bool head_method = false;                ///< The response has no body whatever its headers say.
-    bool connect_only = false;               ///< Sends nothing: whether somebody listens is all that is asked.
-    bool fresh = false;                      ///< Not on a connection that has served a request before.
+    bool connect_only = false; ///< Sends nothing: whether somebody listens is all that is asked.
+    bool fresh = false;        ///< Not on a connection that has served a request before.
     core::time_point deadline = core::time_point::max();
 };
 
--- a/src/include/balsampost/entry/key_service.h
+++ b/src/include/balsampost/entry/key_service.h
@@ -42,8 +42,8 @@
     /// Runs what is due and sets the next timer.
     void step();
     void stop() { m_stopped = true; }
-    /// Gives the tenure up for a planned stop. While the store does not take it, the coordinator goes on: nobody else
-    /// could begin.
+    /// Gives the tenure up for a planned stop. While the store does not take it, the coordinator goes on:
+    /// nobody else could begin.
     void resign(std::function<void()> given_up);
     void holder_resigned();
     bool leads() const { return m_coordinator.leads(now()); }
@@ -57,7 +57,8 @@
     void run(const core::send_release& a);
     void probe(const std::string& server_id);
     void tenure_arrived(const store_result<std::optional<stored_object>>& answer);
-    exchange_request order_request(const std::string& server, const core::endpoint& at, const encoded_call& call) const;
+    exchange_request order_request(const std::string& server, const core::endpoint& at,
+                                   const encoded_call& call) const;
 
     platform& m_words;
     http_client& m_orders;
--- a/src/include/balsampost/entry/kind_watch.h
+++ b/src/include/balsampost/entry/kind_watch.h
@@ -1,4 +1,5 @@
-// Follows all objects of one kind in the store: a list, then changes, and a new list when the changes were lost.
+// Follows all objects of one kind in the store: a list, then changes, and a new list when the changes were
+// lost.
 #pragma once
 
 #include "balsampost/entry/platform.h"
--- a/src/include/balsampost/entry/platform.h
+++ b/src/include/balsampost/entry/platform.h
@@ -1,5 +1,6 @@
-// What the entry needs of a platform: its object store, the decoding of what stands there, and the words in which
-// callers and backend servers are spoken to. An adapter implements these; no decision and no retry is made there.
+// What the entry needs of a platform: its object store, the decoding of what stands there, and the words in
+// which callers and backend servers are spoken to. An adapter implements these; no decision and no retry is
+// made there.
 #pragma once
 
 #include "balsampost/core/backend_directory.h"
@@ -86,8 +87,8 @@
     std::string expected_server; ///< Id of the only server that may run the request.
     std::string not_run;         ///< A server's word that it did not run the request.
     std::string load;            ///< A server's load.
-    std::string integrity;       ///< A server's code over its answer; without it, a success is not the server's.
-    std::string handover;        ///< What the next owner of released keys is given.
+    std::string integrity; ///< A server's code over its answer; without it, a success is not the server's.
+    std::string handover;  ///< What the next owner of released keys is given.
 };
 
 struct encoded_call {
--- a/src/include/balsampost/entry/timers.h
+++ b/src/include/balsampost/entry/timers.h
@@ -9,8 +9,8 @@
 
 namespace balsampost::entry {
 
-/// Now, by a clock that also counts the time that the machine was suspended: what was granted or promised to others
-/// runs on meanwhile.
+/// Now, by a clock that also counts the time that the machine was suspended: what was granted or promised to
+/// others runs on meanwhile.
 core::time_point now();
 
 class timers {
--- a/src/libbalsampost_core/key_coordinator.cpp
+++ b/src/libbalsampost_core/key_coordinator.cpp
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <limits>
 
 namespace balsampost::core {
 
@@ -67,7 +68,7 @@
 
 void key_coordinator::server_ended(const incarnation& which) {
     if (m_ended.insert(which).second) {
-        forget_holds(which, 0, key_count - 1);
+        forget_holds(which, 0, key_count - 1, std::numeric_limits<std::uint64_t>::max());
         m_unknown_holds.erase(which);
     }
 }
@@ -469,6 +470,11 @@
         m_fenced.clear();
         return replace_lost(m_view, servers, m_rates);
     }
+    // The table may have changed since these were asked for.
+    std::erase_if(m_fenced, [this](const key_move& m) {
+        const auto* run = m_view.find(m.from);
+        return run == nullptr || run->to != m.to || run->owner != m.owner;
+    });
     if (!m_fenced.empty()) {
         return std::exchange(m_fenced, {});
     }
@@ -521,11 +527,12 @@
     });
 }
 
-void key_coordinator::forget_holds(const incarnation& which, shard_key from, shard_key to) {
+void key_coordinator::forget_holds(const incarnation& which, shard_key from, shard_key to,
+                                   std::uint64_t fence) {
     std::vector<possible_hold> next;
     next.reserve(m_holds.size() + 1);
     for (const auto& h : m_holds) {
-        if (h.server != which || h.to < from || h.from > to) {
+        if (h.server != which || h.to < from || h.from > to || h.fence > fence) {
             next.push_back(h);
             continue;
         }
@@ -604,8 +611,8 @@
             m_orders[order] = {{run.from, run.to, run.fence}, p, milliseconds{0}, now};
             out.emplace_back(send_release{order, p, address_of(p), run.from, run.to, run.fence});
         }
-        if (run.owner.empty() || ended(run.owner) || s.order != 0 || s.refence || !m_addresses.contains(run.owner) ||
-            busy(run.owner)) {
+        if (run.owner.empty() || ended(run.owner) || s.order != 0 || s.refence ||
+            !m_addresses.contains(run.owner) || busy(run.owner)) {
             continue;
         }
         if (!previous_cleared(run, s, now)) {
@@ -621,7 +628,7 @@
         s.order = order;
         ++under_way[run.owner];
         // Until the answer or the reset of its connection the grant may arrive at any time.
-        m_holds.push_back({run.owner, run.from, run.to, time_point::max(), order});
+        m_holds.push_back({run.owner, run.from, run.to, time_point::max(), order, run.fence});
         m_orders[order] = {{run.from, run.to, run.fence}, run.owner, hold, now};
         out.emplace_back(send_grant{order, run.owner, address_of(run.owner), run.from, run.to, run.fence,
                                     hold, s.handover});
@@ -685,9 +692,9 @@
     const auto ends = in_doubt ? now + m_settings.longest_work : now;
     if (outcome == order_outcome::done) {
         // Nothing begins there any more; what may still run has an end.
-        forget_holds(o.server, from, to);
+        forget_holds(o.server, from, to, fence);
         if (in_doubt && !ended(o.server)) {
-            m_holds.push_back({o.server, from, to, ends, order});
+            m_holds.push_back({o.server, from, to, ends, order, fence});
         }
     }
     if (outcome != order_outcome::done && outcome != order_outcome::not_sent) {
@@ -697,7 +704,11 @@
     if (outcome == order_outcome::done) {
         // The table may have changed since: the release counts for every run of these keys.
         for (const auto& run : m_view.runs) {
-            if (run.from >= from && run.to <= to &&
+            const bool granted_since =
+                std::any_of(m_holds.begin(), m_holds.end(), [&](const possible_hold& h) {
+                    return h.server == o.server && h.from <= run.to && run.from <= h.to && h.fence > fence;
+                });
+            if (run.from >= from && run.to <= to && !granted_since &&
                 std::find(run.previous.begin(), run.previous.end(), o.server) != run.previous.end()) {
                 auto& s = m_runs[{run.from, run.to, run.fence}];
                 s.released[o.server] = ends;
--- a/src/libbalsampost_core/key_coordinator_test.cpp
+++ b/src/libbalsampost_core/key_coordinator_test.cpp
@@ -1,5 +1,6 @@
-// The coordinator of a keyed service against a small world: a store with conditional updates, and servers that hold
-// keys by the grants' rules. Lost answers, silent servers and other coordinators are played by hand.
+// The coordinator of a keyed service against a small world: a store with conditional updates, and servers
+// that hold keys by the grants' rules. Lost answers, silent servers and other coordinators are played by
+// hand.
 #include "balsampost/core/key_coordinator.h"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -37,6 +38,8 @@
     std::vector<send_grant> grants;
     std::vector<send_release> releases;
     std::string handover = "h1";
+    bool hold_releases = false;
+    std::vector<send_release> held; // Not answered yet.
 
     std::vector<const backend*> listed() const {
         std::vector<const backend*> out;
@@ -84,13 +87,19 @@
     void handle(key_coordinator& c, const send_grant& a) {
         CPPUNIT_ASSERT(a.at.port != 0);
         grants.push_back(a);
-        c.grant_ended(a.order, silent_servers.contains(a.to.id) ? order_outcome::not_sent : order_outcome::done, now);
+        c.grant_ended(a.order,
+                      silent_servers.contains(a.to.id) ? order_outcome::not_sent : order_outcome::done, now);
     }
     void handle(key_coordinator& c, const send_release& a) {
         CPPUNIT_ASSERT(a.at.port != 0);
         releases.push_back(a);
+        if (hold_releases) {
+            held.push_back(a);
+            return;
+        }
         const bool silent = silent_servers.contains(a.to.id);
-        c.release_ended(a.order, silent ? order_outcome::not_sent : order_outcome::done, silent ? "" : handover, now);
+        c.release_ended(a.order, silent ? order_outcome::not_sent : order_outcome::done,
+                        silent ? "" : handover, now);
     }
 
     void settle(key_coordinator& c) {
@@ -150,6 +159,7 @@
     CPPUNIT_TEST(restart_under_the_same_id_takes_a_higher_token);
     CPPUNIT_TEST(restarted_server_keeps_its_keys_under_new_tokens);
     CPPUNIT_TEST(doubtful_server_is_granted_under_new_tokens_only);
+    CPPUNIT_TEST(a_late_release_says_nothing_of_later_grants);
     CPPUNIT_TEST(lost_table_write_is_read_before_the_next_order);
     CPPUNIT_TEST(fenced_grant_is_sent_again_under_a_higher_token);
     CPPUNIT_TEST_SUITE_END();
@@ -254,7 +264,8 @@
         w.grants.clear();
         w.run(c, milliseconds{100});
         CPPUNIT_ASSERT(!w.releases.empty());
-        const auto moved = std::find_if(w.grants.begin(), w.grants.end(), [](const auto& g) { return !g.handover.empty(); });
+        const auto moved =
+            std::find_if(w.grants.begin(), w.grants.end(), [](const auto& g) { return !g.handover.empty(); });
         CPPUNIT_ASSERT(moved != w.grants.end());
         CPPUNIT_ASSERT_EQUAL(w.handover, moved->handover);
         CPPUNIT_ASSERT(std::none_of(c.view().runs.begin(), c.view().runs.end(),
@@ -269,7 +280,8 @@
         const auto lost = w.servers.back().self;
         w.silent_servers.insert(lost.id);
         const auto silent_from = w.now;
-        const auto last_grant = std::count_if(w.grants.begin(), w.grants.end(), [&](const auto& g) { return g.to == lost; });
+        const auto last_grant =
+            std::count_if(w.grants.begin(), w.grants.end(), [&](const auto& g) { return g.to == lost; });
         CPPUNIT_ASSERT(last_grant > 0);
         w.servers.pop_back(); // Its entry is removed: that proves nothing of the server.
         c.update_servers(w.listed(), w.now);
@@ -277,8 +289,9 @@
         while (!owned_elsewhere) {
             w.settle(c);
             const auto& runs = c.view().runs;
-            owned_elsewhere = std::none_of(runs.begin(), runs.end(), [](const auto& r) { return r.moving(); }) &&
-                              std::none_of(runs.begin(), runs.end(), [&](const auto& r) { return r.owner == lost; });
+            owned_elsewhere =
+                std::none_of(runs.begin(), runs.end(), [](const auto& r) { return r.moving(); }) &&
+                std::none_of(runs.begin(), runs.end(), [&](const auto& r) { return r.owner == lost; });
             w.now += milliseconds{20};
         }
         const coordinator_settings defaults;
@@ -296,7 +309,8 @@
         c.server_ended(lost);
         w.run(c, milliseconds{100});
         const auto& runs = c.view().runs;
-        CPPUNIT_ASSERT(std::none_of(runs.begin(), runs.end(), [&](const auto& r) { return r.owner == lost || r.moving(); }));
+        CPPUNIT_ASSERT(std::none_of(runs.begin(), runs.end(),
+                                    [&](const auto& r) { return r.owner == lost || r.moving(); }));
     }
 
     void restart_under_the_same_id_takes_a_higher_token() {
@@ -309,12 +323,15 @@
         c.update_servers(w.listed(), w.now);
         w.grants.clear();
         w.run(c, milliseconds{500});
-        CPPUNIT_ASSERT(std::any_of(w.grants.begin(), w.grants.end(), [&](const auto& g) { return g.fence > before; }));
+        CPPUNIT_ASSERT(
+            std::any_of(w.grants.begin(), w.grants.end(), [&](const auto& g) { return g.fence > before; }));
         const auto old = incarnation{"s0", 100};
-        CPPUNIT_ASSERT(std::none_of(w.grants.begin(), w.grants.end(), [&](const auto& g) { return g.to == old; }));
+        CPPUNIT_ASSERT(
+            std::none_of(w.grants.begin(), w.grants.end(), [&](const auto& g) { return g.to == old; }));
     }
 
-    /// Grants meant for a server may reach the one that started under its id: its keys must not go elsewhere at once.
+    /// Grants meant for a server may reach the one that started under its id: its keys must not go elsewhere
+    /// at once.
     void restarted_server_keeps_its_keys_under_new_tokens() {
         auto w = with_servers(3);
         auto c = coordinator("a@1");
@@ -343,6 +360,36 @@
         }
     }
 
+    /// Seen on a hunted day: keys left a server, came back and left again, and the answer to the first
+    /// release was taken for one to the second.
+    void a_late_release_says_nothing_of_later_grants() {
+        auto w = with_servers(3);
+        auto c = coordinator("a@1");
+        c.update_servers(w.listed(), w.now);
+        w.run(c, seconds{3});
+        const auto drain = [&](bool first, bool others) {
+            w.servers[0].draining = first;
+            w.servers[1].draining = w.servers[2].draining = others;
+            c.update_servers(w.listed(), w.now);
+            w.run(c, milliseconds{30});
+        };
+        w.hold_releases = true;
+        drain(true, false);
+        CPPUNIT_ASSERT(!w.held.empty());
+        const auto early = w.held.front();
+        w.hold_releases = false;
+        drain(false, true);
+        w.run(c, milliseconds{100});
+        w.hold_releases = true;
+        drain(true, false);
+        w.grants.clear();
+        c.release_ended(early.order, order_outcome::done, "h", w.now);
+        w.run(c, milliseconds{50});
+        for (const auto& g : w.grants) {
+            CPPUNIT_ASSERT(g.last < early.from || g.from > early.last);
+        }
+    }
+
     void lost_table_write_is_read_before_the_next_order() {
         auto w = with_servers(3);
         auto c = coordinator("a@1");
--- a/src/libbalsampost_core/key_load.cpp
+++ b/src/libbalsampost_core/key_load.cpp
@@ -8,8 +8,8 @@
 
 namespace {
 
-// The short rate of a key or group counts if it is this many times the long one and this many requests a second above
-// it: far more than chance makes of a quiet one.
+// The short rate of a key or group counts if it is this many times the long one and this many requests a
+// second above it: far more than chance makes of a quiet one.
 constexpr double stands_out_times = 2;
 constexpr double stands_out_rate = 8;
 constexpr double largest_unit = 1e9; // Beyond it the counts are scaled down.
@@ -20,8 +20,9 @@
 void key_counter::take(key_report& report, std::size_t most) {
     report.keys.assign(m_counts.begin(), m_counts.end());
     m_counts.clear();
-    std::sort(report.keys.begin(), report.keys.end(),
-              [](const auto& a, const auto& b) { return a.second != b.second ? a.second > b.second : a < b; });
+    std::sort(report.keys.begin(), report.keys.end(), [](const auto& a, const auto& b) {
+        return a.second != b.second ? a.second > b.second : a < b;
+    });
     while (report.keys.size() > most) {
         report.unlisted += report.keys.back().second;
         report.keys.pop_back();
--- a/src/libbalsampost_core/key_ownership_test.cpp
+++ b/src/libbalsampost_core/key_ownership_test.cpp
@@ -212,6 +212,9 @@
         if (chance(0.004)) {
             m_listed.at(pick_server()).draining ^= true;
         }
+        if (chance(0.01)) { // All connections to a server are lost, or seem to be.
+            m_coordinators[draw(m_coordinators.size())]->server_doubtful(m_listed.at(pick_server()).self);
+        }
         if (chance(0.02)) { // Keys run hot.
             key_report r;
             const auto hot = static_cast<shard_key>(draw(key_count - 100));
--- a/src/libbalsampost_core/key_plan.cpp
+++ b/src/libbalsampost_core/key_plan.cpp
@@ -135,7 +135,8 @@
 std::map<incarnation, double> overloads(const key_table& table, const std::vector<key_server>& servers,
                                         const key_rates& rates) {
     constexpr double overloaded = 1.5; // Below, the queue at the server takes up the difference.
-    // More than fits is let through, since it comes unevenly: the server's queue must not run empty in between.
+    // More than fits is let through, since it comes unevenly: the server's queue must not run empty in
+    // between.
     constexpr double surplus = 1.3;
     std::map<incarnation, double> out;
     for (const auto& [id, s] : loads_of(table, servers, rates)) {
--- a/src/libbalsampost_core/key_plan_test.cpp
+++ b/src/libbalsampost_core/key_plan_test.cpp
@@ -29,7 +29,8 @@
     return table;
 }
 
-/// Three seconds of reports, each 250 ms: `base` requests a second evenly, and `hot` on `keys` neighbours from `from`.
+/// Three seconds of reports, each 250 ms: `base` requests a second evenly, and `hot` on `keys` neighbours
+/// from `from`.
 key_rates play(double base, double hot, shard_key from, shard_key keys) {
     key_rates rates;
     std::uint32_t next = 0;
@@ -161,23 +162,25 @@
     }
 
     void moves_keep_tables_sound_and_tokens_rising() {
-        CPPUNIT_ASSERT(rc::check("any moves keep the table sound; a new owner's token is above all before", [] {
-            auto table = first_table(equal_servers(4));
-            const auto steps = *rc::gen::inRange(1, 20);
-            for (int i = 0; i < steps; ++i) {
-                const auto from = *rc::gen::inRange<shard_key>(0, key_count);
-                const auto to = *rc::gen::inRange<shard_key>(from, key_count);
-                const incarnation owner{"s" + std::to_string(*rc::gen::inRange(0, 4)), 1};
-                const auto before = table;
-                apply_moves(table, {{from, to, owner, false}});
-                RC_ASSERT(is_sound(table));
-                RC_ASSERT(table.find(from)->owner == owner && table.find(to)->owner == owner);
-                RC_ASSERT(table.find(from)->fence > before.last_fence);
-                const auto& holder = before.find(from)->owner;
-                const auto& previous = table.find(from)->previous;
-                RC_ASSERT(holder == owner || std::find(previous.begin(), previous.end(), holder) != previous.end());
-            }
-        }));
+        CPPUNIT_ASSERT(
+            rc::check("any moves keep the table sound; a new owner's token is above all before", [] {
+                auto table = first_table(equal_servers(4));
+                const auto steps = *rc::gen::inRange(1, 20);
+                for (int i = 0; i < steps; ++i) {
+                    const auto from = *rc::gen::inRange<shard_key>(0, key_count);
+                    const auto to = *rc::gen::inRange<shard_key>(from, key_count);
+                    const incarnation owner{"s" + std::to_string(*rc::gen::inRange(0, 4)), 1};
+                    const auto before = table;
+                    apply_moves(table, {{from, to, owner, false}});
+                    RC_ASSERT(is_sound(table));
+                    RC_ASSERT(table.find(from)->owner == owner && table.find(to)->owner == owner);
+                    RC_ASSERT(table.find(from)->fence > before.last_fence);
+                    const auto& holder = before.find(from)->owner;
+                    const auto& previous = table.find(from)->previous;
+                    RC_ASSERT(holder == owner ||
+                              std::find(previous.begin(), previous.end(), holder) != previous.end());
+                }
+            }));
     }
 
     void news_of_changes_make_the_same_table() {
@@ -187,7 +190,8 @@
             for (int i = 0; i < steps; ++i) {
                 auto next = versions.back();
                 const auto from = *rc::gen::inRange<shard_key>(0, key_count);
-                const auto to = std::min<shard_key>(key_count - 1, from + *rc::gen::inRange<shard_key>(0, 5'000));
+                const auto to =
+                    std::min<shard_key>(key_count - 1, from + *rc::gen::inRange<shard_key>(0, 5'000));
                 apply_moves(next, {{from, to, {"s" + std::to_string(*rc::gen::inRange(0, 4)), 1}, false}});
                 if (*rc::gen::arbitrary<bool>()) {
                     for (auto& run : next.runs) {
@@ -224,8 +228,9 @@
         apply_moves(table, {{5, 9, {"s2", 1}, false}});
         const auto read = key_table_from_json(to_json(table));
         CPPUNIT_ASSERT(read && *read == table);
-        for (const auto* bad : {"", "{}", "[]", R"({"term":1,"last_fence":0,"coordinator":"c","coordinator_at":"x"})",
-                                R"({"term":1,"last_fence":0,"coordinator":"c","coordinator_at":"1.2.3.4:1",
+        for (const auto* bad :
+             {"", "{}", "[]", R"({"term":1,"last_fence":0,"coordinator":"c","coordinator_at":"x"})",
+              R"({"term":1,"last_fence":0,"coordinator":"c","coordinator_at":"1.2.3.4:1",
                                     "addresses":[],"runs":[[0,5,null,0,[]]]})"}) {
             CPPUNIT_ASSERT_MESSAGE(bad, !key_table_from_json(bad));
         }
--- a/src/libbalsampost_core/routing_test.cpp
+++ b/src/libbalsampost_core/routing_test.cpp
@@ -1,4 +1,5 @@
-// Routes, splits, the directory of backend servers, the budget of repeats, and the choice of a server under load.
+// Routes, splits, the directory of backend servers, the budget of repeats, and the choice of a server under
+// load.
 #include "balsampost/core/backend_directory.h"
 #include "balsampost/core/manifest.h"
 #include "balsampost/core/repeat_budget.h"
@@ -60,8 +61,12 @@
             const char* expected; // Null: no route.
         };
         constexpr row rows[] = {
-            {"h.example", "/a/b/c?x=/a/", "/a/b/"}, {"h.example:80", "/a/b", "/a/"}, {"H.EXAMPLE", "/a", "/"},
-            {"h.example", "/?q=/a/b/", "/"},        {"other", "/a/", nullptr},       {"h.example", "*", nullptr},
+            {"h.example", "/a/b/c?x=/a/", "/a/b/"},
+            {"h.example:80", "/a/b", "/a/"},
+            {"H.EXAMPLE", "/a", "/"},
+            {"h.example", "/?q=/a/b/", "/"},
+            {"other", "/a/", nullptr},
+            {"h.example", "*", nullptr},
         };
         for (const auto& r : rows) {
             const auto* found = index.find(r.host, r.target);
@@ -72,7 +77,8 @@
 
     void splits_are_even_in_every_run() {
         CPPUNIT_ASSERT(rc::check("every run of requests is within one request a part of the weights", [] {
-            const auto weights = *rc::gen::nonEmpty(rc::gen::container<std::vector<int>>(rc::gen::inRange(1, 100)));
+            const auto weights =
+                *rc::gen::nonEmpty(rc::gen::container<std::vector<int>>(rc::gen::inRange(1, 100)));
             std::vector<route_part> parts;
             double sum = 0;
             for (const auto w : weights) {
@@ -84,7 +90,8 @@
             for (int n = 1; n <= 200; ++n) {
                 counts[sequence.next(parts)] += 1;
                 for (std::size_t i = 0; i < parts.size(); ++i) {
-                    RC_ASSERT(std::abs(counts[i] - n * parts[i].weight / sum) <= static_cast<double>(parts.size()));
+                    RC_ASSERT(std::abs(counts[i] - n * parts[i].weight / sum) <=
+                              static_cast<double>(parts.size()));
                 }
             }
         }));
@@ -153,8 +160,11 @@
             pool.began(chosen.server, begin);
             order.push_back(chosen.server);
         }
-        CPPUNIT_ASSERT(std::all_of(order.begin(), order.begin() + 6, [](const auto& s) { return s == "near"; }));
-        const auto first = [&](const char* s) { return std::find(order.begin(), order.end(), s) - order.begin(); };
+        CPPUNIT_ASSERT(
+            std::all_of(order.begin(), order.begin() + 6, [](const auto& s) { return s == "near"; }));
+        const auto first = [&](const char* s) {
+            return std::find(order.begin(), order.end(), s) - order.begin();
+        };
         CPPUNIT_ASSERT(first("middle") < first("far"));
         CPPUNIT_ASSERT(first("far") < 30);
         // A large body weighs against leaving the region.
@@ -183,8 +193,8 @@
         CPPUNIT_ASSERT(pool.check("two", request, begin + seconds{2}).server.empty());
     }
 
-    /// Seen on the platform's first days: a server that shed a few requests was asked nothing any more, and so never
-    /// looked better.
+    /// Seen on the platform's first days: a server that shed a few requests was asked nothing any more, and
+    /// so never looked better.
     void what_looked_bad_is_forgotten() {
         server_pool pool({}, "a1", regions);
         const auto only = make_backend("only", "a1");
@@ -199,7 +209,8 @@
         CPPUNIT_ASSERT(!pool.check("only", request, begin + seconds{5}).server.empty());
     }
 
-    /// Four times the servers' capacity for five seconds: what is served must be near the capacity, and on time.
+    /// Four times the servers' capacity for five seconds: what is served must be near the capacity, and on
+    /// time.
     void a_burst_is_refused_at_once_and_the_rest_is_on_time() {
         constexpr int servers = 6;
         constexpr int slots = 6;
@@ -239,14 +250,15 @@
                 const auto took = w.ends - w.began;
                 ++served;
                 late += took > 400 ? 1 : 0;
-                pool.ended(w.server, server_sign::answered, milliseconds{took}, std::nullopt, begin + milliseconds{w.ends});
+                pool.ended(w.server, server_sign::answered, milliseconds{took}, std::nullopt,
+                           begin + milliseconds{w.ends});
             }
         };
         for (std::int64_t i = 0; i < arrivals; ++i) {
             const auto at = i * length_ms / arrivals;
             finish_until(at);
-            const auto chosen =
-                pool.choose({milliseconds{400}, milliseconds{1'000}, 0, {}}, begin + milliseconds{at}, random);
+            const auto chosen = pool.choose({milliseconds{400}, milliseconds{1'000}, 0, {}},
+                                            begin + milliseconds{at}, random);
             if (chosen.server.empty()) {
                 CPPUNIT_ASSERT(chosen.retry_after > milliseconds{0});
                 ++refused;
--- a/src/libbalsampost_core/server_selection.cpp
+++ b/src/libbalsampost_core/server_selection.cpp
@@ -14,8 +14,9 @@
 constexpr double failure_gain = 0.12;      // Weight of a new attempt in the failure rate.
 constexpr double failure_cost = 6;         // Expected time grows by this much at a failure rate of 1.
 constexpr std::uint32_t silent_misses = 3; // Requests in a row without an answer that make a server doubtful.
-constexpr double late_factor = 1.5;        // A request may take this many times its server's own time, target or not.
-constexpr double warming_factor = 2;       // A server that started just now takes this much longer.
+constexpr double late_factor =
+    1.5; // A request may take this many times its server's own time, target or not.
+constexpr double warming_factor = 2; // A server that started just now takes this much longer.
 constexpr double region_round_trip_ms = 16;
 constexpr milliseconds shortest_retry{60};
 constexpr milliseconds longest_retry{600};
@@ -43,8 +44,8 @@
         }
         s.info = *b;
         const auto region = m_regions.find(b->failure_domain);
-        const bool same_region =
-            region != m_regions.end() && own_region != m_regions.end() && region->second == own_region->second;
+        const bool same_region = region != m_regions.end() && own_region != m_regions.end() &&
+                                 region->second == own_region->second;
         s.where = b->failure_domain == m_failure_domain ? nearness::same_domain
                   : same_region                         ? nearness::same_region
                                                         : nearness::other_region;
@@ -122,7 +123,8 @@
 
 double server_pool::allowed_ms(const state& s, const selection_request& request, time_point now) const {
     const double service = service_ms_of(s, now);
-    const auto target = static_cast<double>(std::max(request.target, milliseconds{1}).count()) * m_settings.target_part;
+    const auto target =
+        static_cast<double>(std::max(request.target, milliseconds{1}).count()) * m_settings.target_part;
     return std::min(static_cast<double>(request.limit.count()) * m_settings.limit_part,
                     std::max(target, service * late_factor));
 }
@@ -134,11 +136,13 @@
 
 milliseconds server_pool::time_until_room(const state& s, double expected, double allowed) const {
     const double slots = std::max<std::uint32_t>(s.info.slots, 1);
-    const milliseconds retry{static_cast<std::int64_t>(std::max(expected - allowed, mean_service_ms() / slots))};
+    const milliseconds retry{
+        static_cast<std::int64_t>(std::max(expected - allowed, mean_service_ms() / slots))};
     return std::clamp(retry, shortest_retry, longest_retry);
 }
 
-selection server_pool::choose(const selection_request& request, time_point now, std::mt19937_64& random) const {
+selection server_pool::choose(const selection_request& request, time_point now,
+                              std::mt19937_64& random) const {
     const state* best = nullptr;
     double best_cost = 0;
     double best_expected = 0;
@@ -168,7 +172,8 @@
     return {best->info.self.id, milliseconds{static_cast<std::int64_t>(best_expected)}, milliseconds{0}};
 }
 
-selection server_pool::check(const std::string& server, const selection_request& request, time_point now) const {
+selection server_pool::check(const std::string& server, const selection_request& request,
+                             time_point now) const {
     const auto found = m_servers.find(server);
     if (found == m_servers.end() || now < found->second.rests_until ||
         (found->second.info.draining && now >= found->second.info.read_at + m_settings.owner_leaving)) {
--- a/src/libbalsampost_entry/caller_listener.cpp
+++ b/src/libbalsampost_entry/caller_listener.cpp
@@ -5,8 +5,8 @@
 #include "balsampost/telemetry/log.h"
 
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/status.hpp>
+#include <boost/beast/http/string_body.hpp>
 
 #include <algorithm>
 #include <array>
@@ -27,8 +27,8 @@
 constexpr unsigned status_too_large = 413;
 constexpr unsigned status_header_too_large = 431;
 constexpr unsigned status_unavailable = 503;
-constexpr core::milliseconds body_time{30'000}; // For a whole body to arrive.
-constexpr std::uint64_t memory_share = 3;       // A third of the memory may hold callers' bodies.
+constexpr core::milliseconds body_time{30'000};     // For a whole body to arrive.
+constexpr std::uint64_t memory_share = 3;           // A third of the memory may hold callers' bodies.
 constexpr std::uint32_t reserved_descriptors = 400; // For servers, the store and peers.
 constexpr core::milliseconds full_retry{500};
 
@@ -46,7 +46,8 @@
 
 class caller_session : public std::enable_shared_from_this<caller_session> {
 public:
-    caller_session(caller_listener& owner, net::tcp::socket socket) : m_owner(owner), m_socket(std::move(socket)) {}
+    caller_session(caller_listener& owner, net::tcp::socket socket)
+        : m_owner(owner), m_socket(std::move(socket)) {}
 
     void start() {
         error_code ec;
@@ -114,10 +115,11 @@
             return;
         }
         m_reading = true;
-        m_socket.async_read_some(m_buffer.prepare(read_size), [self = shared_from_this()](error_code ec, std::size_t n) {
-            self->m_reading = false;
-            self->received(ec, n);
-        });
+        m_socket.async_read_some(m_buffer.prepare(read_size),
+                                 [self = shared_from_this()](error_code ec, std::size_t n) {
+                                     self->m_reading = false;
+                                     self->received(ec, n);
+                                 });
     }
 
     void received(error_code ec, std::size_t n) {
@@ -179,7 +181,8 @@
         arm(body_time);
         const auto length = m_parser->content_length();
         const auto expected = length ? *length : read_size;
-        const auto most = (static_cast<std::uint64_t>(m_owner.m_settings.resources.memory_mb) << 20U) / memory_share;
+        const auto most =
+            (static_cast<std::uint64_t>(m_owner.m_settings.resources.memory_mb) << 20U) / memory_share;
         if (m_owner.m_body_bytes + expected > most) {
             answer_and_close(status_unavailable, full_retry);
             return false;
@@ -234,14 +237,13 @@
         }
         request.headers = std::move(static_cast<http::fields&>(message));
         m_request_id = std::string(view(request.headers[m_owner.m_forwarding.words.headers().request_id]));
-        auto f = std::make_shared<forwarding>(
-            m_owner.m_forwarding, std::move(request),
-            [weak = weak_from_this()](caller_answer answer) {
-                if (const auto self = weak.lock()) {
-                    self->m_forwarding.reset();
-                    self->write(std::move(answer));
-                }
-            });
+        auto f = std::make_shared<forwarding>(m_owner.m_forwarding, std::move(request),
+                                              [weak = weak_from_this()](caller_answer answer) {
+                                                  if (const auto self = weak.lock()) {
+                                                      self->m_forwarding.reset();
+                                                      self->write(std::move(answer));
+                                                  }
+                                              });
         m_forwarding = f;
         read(); // Notices when the caller leaves.
         if (!m_closed && m_forwarding) {
@@ -257,7 +259,11 @@
         m_keep = m_keep && !m_owner.m_stopping;
         m_head.clear();
         const auto reason = http::obsolete_reason(http::int_to_status(answer.status));
-        m_head.append("HTTP/1.1 ").append(std::to_string(answer.status)).append(" ").append(view(reason)).append("\r\n");
+        m_head.append("HTTP/1.1 ")
+            .append(std::to_string(answer.status))
+            .append(" ")
+            .append(view(reason))
+            .append("\r\n");
         const bool from_server = answer.headers.begin() != answer.headers.end();
         const bool has_connection = answer.headers.count(http::field::connection) > 0;
         for (const auto& field : answer.headers) {
@@ -270,7 +276,10 @@
             m_head.append(name).append(": ").append(view(field.value())).append("\r\n");
         }
         if (!from_server && !m_request_id.empty()) {
-            m_head.append(m_owner.m_forwarding.words.headers().request_id).append(": ").append(m_request_id).append("\r\n");
+            m_head.append(m_owner.m_forwarding.words.headers().request_id)
+                .append(": ")
+                .append(m_request_id)
+                .append("\r\n");
         }
         if (answer.retry_after) {
             std::array<char, 32> text{};
@@ -286,7 +295,8 @@
         }
         m_head.append("\r\n");
         m_body = has_no_body(answer.status, m_to_head) ? std::string() : std::move(answer.body);
-        const std::array<net::asio::const_buffer, 2> buffers{net::asio::buffer(m_head), net::asio::buffer(m_body)};
+        const std::array<net::asio::const_buffer, 2> buffers{net::asio::buffer(m_head),
+                                                             net::asio::buffer(m_body)};
         error_code ec;
         const auto size = m_head.size() + m_body.size();
         const auto done = m_socket.write_some(buffers, ec);
@@ -338,8 +348,8 @@
         }
     }
 
-    /// Ends the sending side and reads on for a moment: a close with unread bytes would reset the connection and
-    /// could take the answer with it.
+    /// Ends the sending side and reads on for a moment: a close with unread bytes would reset the connection
+    /// and could take the answer with it.
     void linger_close() {
         error_code ec;
         m_socket.shutdown(net::tcp::socket::shutdown_send, ec);
@@ -359,17 +369,18 @@
             return;
         }
         m_reading = true;
-        m_socket.async_read_some(m_buffer.prepare(read_size), [self = shared_from_this()](error_code ec, std::size_t) {
-            self->m_reading = false;
-            if (self->m_closed) {
-                return;
-            }
-            if (ec) {
-                self->close();
-                return;
-            }
-            self->drain();
-        });
+        m_socket.async_read_some(m_buffer.prepare(read_size),
+                                 [self = shared_from_this()](error_code ec, std::size_t) {
+                                     self->m_reading = false;
+                                     if (self->m_closed) {
+                                         return;
+                                     }
+                                     if (ec) {
+                                         self->close();
+                                         return;
+                                     }
+                                     self->drain();
+                                 });
     }
 
     caller_listener& m_owner;
@@ -393,7 +404,8 @@
     bool m_closed = false;
 };
 
-caller_listener::caller_listener(net::asio::io_context& context, forwarding_context forwarding, const settings& s)
+caller_listener::caller_listener(net::asio::io_context& context, forwarding_context forwarding,
+                                 const settings& s)
     : m_context(context), m_forwarding(forwarding), m_settings(s), m_acceptor(context) {}
 
 caller_listener::~caller_listener() = default;
--- a/src/libbalsampost_entry/entry_metrics.cpp
+++ b/src/libbalsampost_entry/entry_metrics.cpp
@@ -7,7 +7,8 @@
 
 namespace {
 
-prometheus::Family<prometheus::Counter>& counters(prometheus::Registry& r, const char* name, const char* help) {
+prometheus::Family<prometheus::Counter>& counters(prometheus::Registry& r, const char* name,
+                                                  const char* help) {
     return prometheus::BuildCounter().Name(name).Help(help).Register(r);
 }
 
@@ -31,41 +32,60 @@
 entry_metrics::entry_metrics() : entry_metrics(std::make_shared<prometheus::Registry>()) {}
 
 entry_metrics::entry_metrics(std::shared_ptr<prometheus::Registry> registry)
-    : m_registry(std::move(registry)),
-      m_answers_family(counters(*m_registry, "balsampost_answers_total", "Answers to callers by class of status")),
+    : m_registry(std::move(registry)), m_answers_family(counters(*m_registry, "balsampost_answers_total",
+                                                                 "Answers to callers by class of status")),
       m_answers_ok(m_answers_family.Add({{"class", "2xx"}})),
       m_answers_client_error(m_answers_family.Add({{"class", "4xx"}})),
       m_answers_server_error(m_answers_family.Add({{"class", "5xx"}})),
-      m_refused(counters(*m_registry, "balsampost_refused_total", "Requests refused, certainly not run").Add({})),
-      m_failed_gateway(counters(*m_registry, "balsampost_failed_total", "Requests failed at the entry").Add({{"status", "502"}})),
-      m_failed_timeout(counters(*m_registry, "balsampost_timeouts_total", "Requests without an answer in time").Add({})),
-      m_failed_other(counters(*m_registry, "balsampost_failed_other_total", "Requests without a route or a key").Add({})),
-      m_left(counters(*m_registry, "balsampost_callers_left_total", "Callers that left before the answer").Add({})),
-      m_store_ok(counters(*m_registry, "balsampost_store_calls_total", "Calls to the store that were answered").Add({})),
-      m_store_failed(counters(*m_registry, "balsampost_store_failures_total", "Calls to the store that failed").Add({})),
+      m_refused(
+          counters(*m_registry, "balsampost_refused_total", "Requests refused, certainly not run").Add({})),
+      m_failed_gateway(counters(*m_registry, "balsampost_failed_total", "Requests failed at the entry")
+                           .Add({{"status", "502"}})),
+      m_failed_timeout(
+          counters(*m_registry, "balsampost_timeouts_total", "Requests without an answer in time").Add({})),
+      m_failed_other(
+          counters(*m_registry, "balsampost_failed_other_total", "Requests without a route or a key")
+              .Add({})),
+      m_left(counters(*m_registry, "balsampost_callers_left_total", "Callers that left before the answer")
+                 .Add({})),
+      m_store_ok(
+          counters(*m_registry, "balsampost_store_calls_total", "Calls to the store that were answered")
+              .Add({})),
+      m_store_failed(
+          counters(*m_registry, "balsampost_store_failures_total", "Calls to the store that failed").Add({})),
       m_orders_ok(counters(*m_registry, "balsampost_orders_total", "Grants and releases confirmed").Add({})),
-      m_orders_failed(counters(*m_registry, "balsampost_orders_failed_total", "Grants and releases not confirmed").Add({})),
-      m_keys_moved(counters(*m_registry, "balsampost_keys_moved_total", "Keys that changed their owner").Add({})),
+      m_orders_failed(
+          counters(*m_registry, "balsampost_orders_failed_total", "Grants and releases not confirmed")
+              .Add({})),
+      m_keys_moved(
+          counters(*m_registry, "balsampost_keys_moved_total", "Keys that changed their owner").Add({})),
       m_manifest(gauge(*m_registry, "balsampost_manifest_version", "Version of the manifest in force")),
-      m_leads(gauge(*m_registry, "balsampost_coordinates", "1 while this instance coordinates a keyed service")),
+      m_leads(
+          gauge(*m_registry, "balsampost_coordinates", "1 while this instance coordinates a keyed service")),
       m_latency(prometheus::BuildHistogram()
                     .Name("balsampost_answer_seconds")
                     .Help("From the request to the answer")
                     .Register(*m_registry)
                     .Add({}, latency_bounds)) {
-    auto& attempts = counters(*m_registry, "balsampost_attempts_failed_total", "Attempts without a server's answer");
+    auto& attempts =
+        counters(*m_registry, "balsampost_attempts_failed_total", "Attempts without a server's answer");
     for (std::size_t i = 0; i < m_attempts.size(); ++i) {
         m_attempts[i] = &attempts.Add({{"outcome", to_string(static_cast<core::server_sign>(i))}});
     }
 }
 
 void entry_metrics::answered(unsigned status, core::milliseconds took) {
-    (status < 400 ? m_answers_ok : status < 500 ? m_answers_client_error : m_answers_server_error).Increment();
+    (status < 400   ? m_answers_ok
+     : status < 500 ? m_answers_client_error
+                    : m_answers_server_error)
+        .Increment();
     m_latency.Observe(std::chrono::duration<double>(took).count());
 }
 
 void entry_metrics::failed(unsigned status) {
-    (status == status_gateway ? m_failed_gateway : status == status_timeout ? m_failed_timeout : m_failed_other)
+    (status == status_gateway   ? m_failed_gateway
+     : status == status_timeout ? m_failed_timeout
+                                : m_failed_other)
         .Increment();
 }
 
--- a/src/libbalsampost_entry/entry_test.cpp
+++ b/src/libbalsampost_entry/entry_test.cpp
@@ -1,5 +1,6 @@
-// The HTTP client and the forwarding of requests against backend servers that answer by script: every point at which a
-// connection can fail, and what the caller is told. Also the settings, and the news between instances.
+// The HTTP client and the forwarding of requests against backend servers that answer by script: every point
+// at which a connection can fail, and what the caller is told. Also the settings, and the news between
+// instances.
 #include "balsampost/entry/entry_metrics.h"
 #include "balsampost/entry/forwarding.h"
 #include "balsampost/entry/peer_exchange.h"
@@ -16,8 +17,8 @@
 
 using namespace std::chrono_literals;
 
-/// Answers requests by the lines of a script, over all connections. "close" closes, "reset" resets, "silence" leaves
-/// the request without an answer. `ID` stands for the id of the request.
+/// Answers requests by the lines of a script, over all connections. "close" closes, "reset" resets, "silence"
+/// leaves the request without an answer. `ID` stands for the id of the request.
 class scripted_backend {
 public:
     scripted_backend(net::asio::io_context& context, std::deque<std::string> script)
@@ -32,42 +33,43 @@
     struct session : std::enable_shared_from_this<session> {
         session(scripted_backend& o, net::tcp::socket s) : owner(o), socket(std::move(s)) {}
         void read() {
-            socket.async_read_some(net::asio::buffer(buffer), [self = shared_from_this()](auto ec, std::size_t n) {
-                if (ec) {
-                    return;
-                }
-                auto& o = self->owner;
-                ++o.m_requests;
-                o.m_last.assign(self->buffer.data(), n);
-                auto line = o.m_script.empty() ? std::string("close") : o.m_script.front();
-                if (!o.m_script.empty()) {
-                    o.m_script.pop_front();
-                }
-                net::error_code ignored;
-                if (line == "reset") {
-                    self->socket.set_option(net::asio::socket_base::linger(true, 0), ignored);
-                }
-                if (line == "close" || line == "reset") {
-                    self->socket.close(ignored);
-                    return;
-                }
-                bool end = false;
-                if (line.ends_with("|close")) {
-                    line.resize(line.size() - 6);
-                    end = true;
-                }
-                if (const auto at = line.find("ID"); at != std::string::npos) {
-                    line.replace(at, 2, "req-1");
-                }
-                if (line != "silence") {
-                    net::asio::write(self->socket, net::asio::buffer(line), ignored);
-                }
-                if (end) {
-                    self->socket.close(ignored);
-                    return;
-                }
-                self->read();
-            });
+            socket.async_read_some(
+                net::asio::buffer(buffer), [self = shared_from_this()](auto ec, std::size_t n) {
+                    if (ec) {
+                        return;
+                    }
+                    auto& o = self->owner;
+                    ++o.m_requests;
+                    o.m_last.assign(self->buffer.data(), n);
+                    auto line = o.m_script.empty() ? std::string("close") : o.m_script.front();
+                    if (!o.m_script.empty()) {
+                        o.m_script.pop_front();
+                    }
+                    net::error_code ignored;
+                    if (line == "reset") {
+                        self->socket.set_option(net::asio::socket_base::linger(true, 0), ignored);
+                    }
+                    if (line == "close" || line == "reset") {
+                        self->socket.close(ignored);
+                        return;
+                    }
+                    bool end = false;
+                    if (line.ends_with("|close")) {
+                        line.resize(line.size() - 6);
+                        end = true;
+                    }
+                    if (const auto at = line.find("ID"); at != std::string::npos) {
+                        line.replace(at, 2, "req-1");
+                    }
+                    if (line != "silence") {
+                        net::asio::write(self->socket, net::asio::buffer(line), ignored);
+                    }
+                    if (end) {
+                        self->socket.close(ignored);
+                        return;
+                    }
+                    self->read();
+                });
         }
         scripted_backend& owner;
         net::tcp::socket socket;
@@ -93,30 +95,41 @@
     object_store& store() override { std::abort(); }
     const platform_kinds& kinds() const override { return m_kinds; }
     const header_names& headers() const override { return m_names; }
-    core::result<core::backend> decode_backend(const stored_object&) const override { return core::backend{}; }
-    core::result<core::manifest> decode_manifest(const stored_object&) const override { return core::manifest{}; }
+    core::result<core::backend> decode_backend(const stored_object&) const override {
+        return core::backend{};
+    }
+    core::result<core::manifest> decode_manifest(const stored_object&) const override {
+        return core::manifest{};
+    }
     std::optional<core::load_report> decode_load(std::string_view) const override { return std::nullopt; }
     encoded_call encode(const core::send_grant&) const override { return {}; }
     encoded_call encode(const core::send_release&) const override { return {}; }
 
 private:
     platform_kinds m_kinds;
-    header_names m_names{"Request-Id", "Deadline-Ms", "Shard-Key", "Expected", "Not-Run", "Load", "Integrity", "Handover"};
+    header_names m_names{"Request-Id", "Deadline-Ms", "Shard-Key", "Expected",
+                         "Not-Run",    "Load",        "Integrity", "Handover"};
 };
 
 const char* const good = "HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nIntegrity: x\r\nContent-Length: 2\r\n\r\nok";
 const char* const shed = "HTTP/1.1 503 X\r\nRequest-Id: ID\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
 const char* const wrong_server = "HTTP/1.1 421 X\r\nRequest-Id: ID\r\nContent-Length: 0\r\n\r\n";
-const char* const own_failure = "HTTP/1.1 500 X\r\nRequest-Id: ID\r\nIntegrity: y\r\nContent-Length: 1\r\n\r\n!";
+const char* const own_failure =
+    "HTTP/1.1 500 X\r\nRequest-Id: ID\r\nIntegrity: y\r\nContent-Length: 1\r\n\r\n!";
 const char* const plain_503 = "HTTP/1.1 503 X\r\nRequest-Id: ID\r\nContent-Length: 0\r\n\r\n";
-const char* const other_id = "HTTP/1.1 200 OK\r\nRequest-Id: other\r\nIntegrity: x\r\nContent-Length: 2\r\n\r\nno";
+const char* const other_id =
+    "HTTP/1.1 200 OK\r\nRequest-Id: other\r\nIntegrity: x\r\nContent-Length: 2\r\n\r\nno";
 const char* const no_integrity = "HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nContent-Length: 2\r\n\r\nno";
-const char* const truncated = "HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nIntegrity: x\r\nContent-Length: 9\r\n\r\nno|close";
+const char* const truncated =
+    "HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nIntegrity: x\r\nContent-Length: 9\r\n\r\nno|close";
 const char* const garbage = "what is this\r\n\r\n";
-const char* const extra = "HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nIntegrity: x\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\n";
+const char* const extra =
+    "HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nIntegrity: x\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\n";
 const char* const by_close = "HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nIntegrity: x\r\n\r\nok|close";
-const char* const chunked = "HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nIntegrity: x\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n";
-const char* const continues = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nRequest-Id: ID\r\nIntegrity: x\r\nContent-Length: 2\r\n\r\nok";
+const char* const chunked = "HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nIntegrity: x\r\nTransfer-Encoding: "
+                            "chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n";
+const char* const continues = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nRequest-Id: ID\r\nIntegrity: "
+                              "x\r\nContent-Length: 2\r\n\r\nok";
 
 struct outcome {
     caller_answer answer;
@@ -129,6 +142,7 @@
     settings s;
     s.instance = {"i", "r", "d", "127.0.0.1"};
     s.regions = {{"d", "r"}};
+    s.bounds.repeat_slack = 100;
     return s;
 }
 
@@ -177,8 +191,8 @@
     request.headers.set("X-Kept", "2");
     request.arrived = now();
     outcome out;
-    auto f = std::make_shared<forwarding>(forwarding_context{state, client, clock, words, measured}, std::move(request),
-                                          [&](caller_answer a) {
+    auto f = std::make_shared<forwarding>(forwarding_context{state, client, clock, words, measured},
+                                          std::move(request), [&](caller_answer a) {
                                               out.answer = std::move(a);
                                               ++out.answers;
                                               context.stop();
@@ -203,8 +217,8 @@
     CPPUNIT_TEST(tables_in_news);
     CPPUNIT_TEST_SUITE_END();
 
-    /// For each way an attempt can end: what the caller of an idempotent request and of any other is told, and how many
-    /// requests reached servers. A status of 503 is a promise that the request did not run.
+    /// For each way an attempt can end: what the caller of an idempotent request and of any other is told,
+    /// and how many requests reached servers. A status of 503 is a promise that the request did not run.
     void outcomes_of_attempts() {
         struct row {
             const char* name;
@@ -272,23 +286,24 @@
         entry_metrics measured;
         traffic_state state(config);
         unsigned status = 0;
-        std::make_shared<forwarding>(forwarding_context{state, client, clock, words, measured}, caller_request{},
-                                     [&](const caller_answer& a) { status = a.status; })
+        std::make_shared<forwarding>(forwarding_context{state, client, clock, words, measured},
+                                     caller_request{}, [&](const caller_answer& a) { status = a.status; })
             ->start();
         CPPUNIT_ASSERT_EQUAL(503U, status);
     }
 
     void settings_faults_are_named() {
-        const std::string sound = "[instance]\nname = i\nregion = r\nfailure_domain = d\naddress = 10.0.0.1\n"
-                                  "[listen]\ncallers = 10.0.0.1:1\nreadiness = 10.0.0.1:2\npeers = 10.0.0.1:3\n"
-                                  "metrics = 10.0.0.1:4\n[store]\naddress = 10.0.0.2:1\n[regions]\nd = r\n";
+        const std::string sound =
+            "[instance]\nname = i\nregion = r\nfailure_domain = d\naddress = 10.0.0.1\n"
+            "[listen]\ncallers = 10.0.0.1:1\nreadiness = 10.0.0.1:2\npeers = 10.0.0.1:3\n"
+            "metrics = 10.0.0.1:4\n[store]\naddress = 10.0.0.2:1\n[regions]\nd = r\n";
         CPPUNIT_ASSERT(parse_settings(sound, "f"));
         struct row {
             const char* added;
             const char* expected;
         };
         const row rows[] = {
-            {"[odd]\n", "f: [odd]"},
+            {"[odd]\nx = 1\n", "f: [odd]"},
             {"[log]\nlevel = loud\n", "f: [log] level"},
             {"[resources]\nmemory_mb = x\n", "f: [resources] memory_mb"},
             {"[resources]\ncpu_share = 0\n", "f: [resources] cpu_share"},
@@ -298,7 +313,8 @@
             const auto parsed = parse_settings(sound + r.added, "f");
             CPPUNIT_ASSERT_MESSAGE(r.added, !parsed);
             CPPUNIT_ASSERT_EQUAL(std::size_t{1}, parsed.error().size());
-            CPPUNIT_ASSERT_MESSAGE(core::to_string(parsed.error()[0]), core::to_string(parsed.error()[0]).starts_with(r.expected));
+            CPPUNIT_ASSERT_MESSAGE(core::to_string(parsed.error()[0]),
+                                   core::to_string(parsed.error()[0]).starts_with(r.expected));
         }
         const auto empty = parse_settings("", "f");
         CPPUNIT_ASSERT(!empty && empty.error().size() == 4);
--- a/src/libbalsampost_entry/http_client.cpp
+++ b/src/libbalsampost_entry/http_client.cpp
@@ -108,7 +108,8 @@
         error_code ec;
         m_socket.open(net::tcp::v4(), ec);
         if (ec) {
-            net::asio::post(m_owner.m_context, [self = shared_from_this(), ec] { self->fail(ec.message(), false); });
+            net::asio::post(m_owner.m_context,
+                            [self = shared_from_this(), ec] { self->fail(ec.message(), false); });
             return;
         }
         m_socket.set_option(net::tcp::no_delay(true), ec);
@@ -122,7 +123,8 @@
             disarm();
             arm(until);
         }
-        m_socket.async_connect(net::to_tcp(m_to), [self = shared_from_this()](error_code e) { self->connected(e); });
+        m_socket.async_connect(net::to_tcp(m_to),
+                               [self = shared_from_this()](error_code e) { self->connected(e); });
     }
 
     void connected(error_code ec) {
@@ -191,9 +193,9 @@
     }
 
     void read() {
-        m_socket.async_read_some(m_buffer.prepare(read_size), [self = shared_from_this()](error_code e, std::size_t n) {
-            self->received(e, n);
-        });
+        m_socket.async_read_some(
+            m_buffer.prepare(read_size),
+            [self = shared_from_this()](error_code e, std::size_t n) { self->received(e, n); });
     }
 
     void received(error_code ec, std::size_t n) {
@@ -346,7 +348,8 @@
 
 http_client::~http_client() = default;
 
-http_client::handle http_client::start(const core::endpoint& to, exchange_request request, exchange_handler done) {
+http_client::handle http_client::start(const core::endpoint& to, exchange_request request,
+                                       exchange_handler done) {
     const auto found = m_targets.find(to);
     if (!request.fresh && found != m_targets.end()) {
         const auto at = now();
--- a/src/libbalsampost_entry/key_service.cpp
+++ b/src/libbalsampost_entry/key_service.cpp
@@ -22,7 +22,7 @@
 constexpr core::milliseconds release_time{1'500};
 constexpr core::milliseconds probe_time{200};
 constexpr core::milliseconds resign_pause{200}; // Between tries to give a tenure up.
-constexpr std::size_t most_history = 12; // Versions; more come in a second only while keys run hot.
+constexpr std::size_t most_history = 12;        // Versions; more come in a second only while keys run hot.
 constexpr char run_separator = '@';
 
 write_outcome outcome_of(store_fault fault) {
@@ -223,9 +223,8 @@
 
 void key_service::resign(std::function<void()> given_up) {
     if (m_coordinator.leads(now()) && m_coordinator.store_falters()) {
-        m_timers.at(now() + resign_pause, [self = shared_from_this(), given_up = std::move(given_up)] {
-            self->resign(given_up);
-        });
+        m_timers.at(now() + resign_pause,
+                    [self = shared_from_this(), given_up = std::move(given_up)] { self->resign(given_up); });
         return;
     }
     const auto write = m_coordinator.resign(now());
@@ -240,8 +239,9 @@
                                   return;
                               }
                               // The next coordinator waits for the tenure to run out.
-                              telemetry::log(event::store_unavailable,
-                                             {{"kind", tenure_kind}, {"fault", entry::to_string(answer.error())}});
+                              telemetry::log(
+                                  event::store_unavailable,
+                                  {{"kind", tenure_kind}, {"fault", entry::to_string(answer.error())}});
                           });
 }
 
@@ -339,8 +339,9 @@
 exchange_request key_service::order_request(const std::string& server, const core::endpoint& at,
                                             const encoded_call& call) const {
     exchange_request request;
-    request.head = call.method + " " + call.target + " HTTP/1.1\r\nHost: " + core::to_string(at) +
-                   "\r\n" + m_words.headers().expected_server + ": " + server + "\r\nContent-Type: " + call.content_type +
+    request.head = call.method + " " + call.target + " HTTP/1.1\r\nHost: " + core::to_string(at) + "\r\n" +
+                   m_words.headers().expected_server + ": " + server +
+                   "\r\nContent-Type: " + call.content_type +
                    "\r\nContent-Length: " + std::to_string(call.body.size()) + "\r\n\r\n";
     request.body = std::make_shared<const std::string>(call.body);
     return request;
--- a/src/libbalsampost_entry/kind_watch.cpp
+++ b/src/libbalsampost_entry/kind_watch.cpp
@@ -11,8 +11,8 @@
 
 // A watch that hears nothing ends after this; the connection's own probes find silence sooner.
 constexpr core::milliseconds longest_wait{20'000};
-// After a failure a call may have been lost on the way, which nothing but its own end shows: for a while calls are
-// short, so that news is no later than the bounds allow.
+// After a failure a call may have been lost on the way, which nothing but its own end shows: for a while
+// calls are short, so that news is no later than the bounds allow.
 constexpr core::milliseconds careful_wait{1'200};
 constexpr core::milliseconds careful_time{8'000};
 // After changes, before the next call: those that follow closely come in one answer. Small beside the bounds
@@ -49,31 +49,30 @@
 
 void kind_watch::watch() {
     const auto wait = now() < m_careful_until ? careful_wait : longest_wait;
-    m_store.watch(m_kind, m_revision, wait,
-                  [self = shared_from_this()](store_result<object_changes> answer) {
-                      if (self->m_stopped) {
-                          return;
-                      }
-                      if (!answer) {
-                          self->failed(answer.error(), answer.error() == store_fault::history_gone);
-                          return;
-                      }
-                      self->succeeded();
-                      self->m_revision = std::max(self->m_revision, answer->revision);
-                      for (const auto& change : answer->changes) {
-                          self->m_handlers.changed(change);
-                      }
-                      if (answer->changes.empty()) {
-                          self->watch();
-                          return;
-                      }
-                      self->m_handlers.settled();
-                      self->m_timers.at(now() + batch_pause, [self] {
-                          if (!self->m_stopped) {
-                              self->watch();
-                          }
-                      });
-                  });
+    m_store.watch(m_kind, m_revision, wait, [self = shared_from_this()](store_result<object_changes> answer) {
+        if (self->m_stopped) {
+            return;
+        }
+        if (!answer) {
+            self->failed(answer.error(), answer.error() == store_fault::history_gone);
+            return;
+        }
+        self->succeeded();
+        self->m_revision = std::max(self->m_revision, answer->revision);
+        for (const auto& change : answer->changes) {
+            self->m_handlers.changed(change);
+        }
+        if (answer->changes.empty()) {
+            self->watch();
+            return;
+        }
+        self->m_handlers.settled();
+        self->m_timers.at(now() + batch_pause, [self] {
+            if (!self->m_stopped) {
+                self->watch();
+            }
+        });
+    });
 }
 
 void kind_watch::succeeded() {
--- a/src/libbalsampost_entry/page_server.cpp
+++ b/src/libbalsampost_entry/page_server.cpp
@@ -25,11 +25,12 @@
         m_parser = std::make_unique<http::request_parser<http::string_body>>();
         m_parser->header_limit(request_bytes);
         m_parser->body_limit(request_bytes);
-        http::async_read(m_socket, m_buffer, *m_parser, [self = shared_from_this()](error_code ec, std::size_t) {
-            if (!ec) { // Otherwise the asker has gone; there is nobody to tell.
-                self->answer();
-            }
-        });
+        http::async_read(m_socket, m_buffer, *m_parser,
+                         [self = shared_from_this()](error_code ec, std::size_t) {
+                             if (!ec) { // Otherwise the asker has gone; there is nobody to tell.
+                                 self->answer();
+                             }
+                         });
     }
 
 private:
