entry: a server's 503 or 429 that does not say it did not run is no promise of ours

Cause: found by the table of outcomes: a server's plain 503 to a request that may run once was passed on, and callers take 503 for the promise that it did not run. Change: such a status becomes 502. Figures: two rows of the table, failing before.

--- a/src/libbalsampost_entry/entry_test.cpp
+++ b/src/libbalsampost_entry/entry_test.cpp
@@ -117,6 +117,7 @@
 const char* const own_failure =
     "HTTP/1.1 500 X\r\nRequest-Id: ID\r\nIntegrity: y\r\nContent-Length: 1\r\n\r\n!";
 const char* const plain_503 = "HTTP/1.1 503 X\r\nRequest-Id: ID\r\nContent-Length: 0\r\n\r\n";
+const char* const plain_429 = "HTTP/1.1 429 X\r\nRequest-Id: ID\r\nContent-Length: 0\r\n\r\n";
 const char* const other_id =
     "HTTP/1.1 200 OK\r\nRequest-Id: other\r\nIntegrity: x\r\nContent-Length: 2\r\n\r\nno";
 const char* const no_integrity = "HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nContent-Length: 2\r\n\r\nno";
@@ -237,7 +238,8 @@
             {"shed", shed, 200, 2, 200, 2},
             {"another server has the address", wrong_server, 200, 2, 200, 2},
             {"the server's own failure", own_failure, 200, 2, 500, 1},
-            {"a 503 without the word that it did not run", plain_503, 200, 2, 503, 1},
+            {"a 503 without the word that it did not run", plain_503, 200, 2, 502, 1},
+            {"a 429 without it", plain_429, 200, 2, 502, 1},
             {"another request's answer", other_id, 200, 2, 502, 1},
             {"a success that is not the server's", no_integrity, 200, 2, 502, 1},
             {"ends early", truncated, 200, 2, 502, 1},
--- a/src/libbalsampost_entry/forwarding.cpp
+++ b/src/libbalsampost_entry/forwarding.cpp
@@ -18,6 +18,7 @@
 
 constexpr unsigned status_bad_request = 400;
 constexpr unsigned status_not_found = 404;
+constexpr unsigned status_request_timeout = 408;
 constexpr unsigned status_misdirected = 421;
 constexpr unsigned status_too_many = 429;
 constexpr unsigned status_bad_gateway = 502;
@@ -36,6 +37,12 @@
 constexpr core::milliseconds orphan_time{500};
 constexpr core::milliseconds least_left{10}; // Less time than this is no use to a server.
 
+/// Whether callers take `status` for the promise that the request did not run and never will.
+bool promises_not_run(unsigned status) {
+    return status == status_request_timeout || status == status_misdirected || status == status_too_many ||
+           status == status_unavailable;
+}
+
 std::string_view view(net::beast::string_view text) {
     return {text.data(), text.size()};
 }
@@ -217,7 +224,7 @@
         return reply.headers.count(m_context.words.headers().integrity) > 0 ? server_sign::answered
                                                                             : server_sign::broken;
     }
-    return reply.status >= 500 ? server_sign::failed : server_sign::answered;
+    return reply.status >= 500 || promises_not_run(reply.status) ? server_sign::failed : server_sign::answered;
 }
 
 void forwarding::attempt_ended(const core::backend& server, core::time_point sent, exchange_result& result,
@@ -299,7 +306,8 @@
         next();
         return;
     }
-    if (sign == server_sign::failed) {
+    // A server's status that would promise what it did not say is not passed on.
+    if (sign == server_sign::failed && !promises_not_run(result.reply.status)) {
         finish({result.reply.status, std::move(result.reply.headers), std::move(result.reply.body),
                 std::nullopt});
         return;
