--- a/src/balsampostd/caller_session.cpp
+++ b/src/balsampostd/caller_session.cpp
@@ -1,6 +1,6 @@
 // The entry's side towards a caller: HTTP/1.1 with keep-alive, bodies streamed both ways.
-#include "forwarder.h"
 #include "balsampost/net/http_rules.h"
+#include "forwarder.h"
 
 #include "balsampost/net/http.h"
 #include "balsampost/telemetry/log.h"
--- a/src/include/balsampost/core/backend_directory.h
+++ b/src/include/balsampost/core/backend_directory.h
@@ -1,5 +1,6 @@
-// The backend servers as the platform lists them, with the doubt that an outage of the list brings: an entry that
-// goes missing while the list itself was away is kept for a while, an entry that goes missing otherwise is gone.
+// The backend servers as the platform lists them, with the doubt that an outage of the list brings: an entry
+// that goes missing while the list itself was away is kept for a while, an entry that goes missing otherwise
+// is gone.
 #pragma once
 
 #include "balsampost/core/ini.h"
@@ -58,8 +59,8 @@
 
 private:
     milliseconds m_grace;
-    std::map<std::string, backend> m_entries;        // By id.
-    std::map<std::string, time_point> m_missing;     // Ids of entries that are kept until then.
+    std::map<std::string, backend> m_entries;    // By id.
+    std::map<std::string, time_point> m_missing; // Ids of entries that are kept until then.
     time_point m_doubtful_until = never;
     std::uint64_t m_version = 0;
 };
--- a/src/include/balsampost/core/key_load.h
+++ b/src/include/balsampost/core/key_load.h
@@ -1,13 +1,13 @@
-// How often keys are asked for and how fast the servers that own them are: what instances report to the coordinator
-// of a keyed service, and the estimate that it keeps of all reports.
+// How often keys are asked for and how fast the servers that own them are: what instances report to the
+// coordinator of a keyed service, and the estimate that it keeps of all reports.
 #pragma once
 
 #include "balsampost/core/key_table.h"
 
 #include <map>
 #include <string>
-#include <unordered_map>
 #include <tuple>
+#include <unordered_map>
 #include <utility>
 #include <vector>
 
@@ -23,9 +23,10 @@
     std::string service;
     std::vector<std::pair<shard_key, std::uint32_t>> keys; ///< Key and requests; the busiest, bounded.
     std::uint32_t unlisted = 0;                            ///< Requests for keys beyond the bound.
-    std::vector<std::tuple<std::string, std::uint32_t, std::uint32_t>> service_ms; ///< Server id, answers, their time
-                                                                                   ///< in all, without waiting.
-    std::vector<std::string> unreachable;                           ///< Ids of servers that refused a connection.
+    std::vector<std::tuple<std::string, std::uint32_t, std::uint32_t>>
+        service_ms;                       ///< Server id, answers, their time
+                                          ///< in all, without waiting.
+    std::vector<std::string> unreachable; ///< Ids of servers that refused a connection.
 
     MSGPACK_DEFINE(service, keys, unlisted, service_ms, unreachable);
 };
@@ -42,8 +43,9 @@
     std::unordered_map<std::uint32_t, std::uint32_t> m_counts;
 };
 
-/// Requests a second by key. Two memories: a long one against noise, and a short one that shows a hot spot as soon as
-/// it stands out. Sums over ranges are exact for each key, so that one key's load is not taken for its neighbours'.
+/// Requests a second by key. Two memories: a long one against noise, and a short one that shows a hot spot as
+/// soon as it stands out. Sums over ranges are exact for each key, so that one key's load is not taken for
+/// its neighbours'.
 class key_rates {
 public:
     void add(const key_report& report, time_point now);
@@ -53,13 +55,15 @@
     double rate(shard_key from, shard_key to) const;
 
 private:
-    /// Weighted counts that forget exponentially: each is kept in units that grow with time, so that only reading
-    /// and adding cost anything.
+    /// Weighted counts that forget exponentially: each is kept in units that grow with time, so that only
+    /// reading and adding cost anything.
     struct memory {
         explicit memory(std::chrono::duration<double> l) : length(l) {}
         void add(shard_key key, double requests);
         void move_to(time_point now);
-        double rate(shard_key key) const { return counts.empty() ? 0.0 : counts[key] / unit / length.count(); }
+        double rate(shard_key key) const {
+            return counts.empty() ? 0.0 : counts[key] / unit / length.count();
+        }
 
         std::chrono::duration<double> length;
         std::vector<double> counts; // Empty until the first report.
--- a/src/include/balsampost/core/manifest.h
+++ b/src/include/balsampost/core/manifest.h
@@ -1,5 +1,5 @@
-// The manifest: routes, services and limits as one version of the operator's configuration, and the index that
-// finds the route of a request.
+// The manifest: routes, services and limits as one version of the operator's configuration, and the index
+// that finds the route of a request.
 #pragma once
 
 #include "balsampost/core/time.h"
@@ -15,9 +15,9 @@
 
 /// How often a request of a route may run.
 enum class repeatability : std::uint8_t {
-    idempotent,  ///< May run more than once.
-    once,        ///< At most once for each request id.
-    large_once,  ///< As `once`, with a large body.
+    idempotent, ///< May run more than once.
+    once,       ///< At most once for each request id.
+    large_once, ///< As `once`, with a large body.
 };
 
 struct route_part {
@@ -60,13 +60,15 @@
     caller_limits limits;
 };
 
-/// One version, with its routes indexed by host and prefix. Immutable, so that a request keeps what it began with.
+/// One version, with its routes indexed by host and prefix. Immutable, so that a request keeps what it began
+/// with.
 class route_index {
 public:
     explicit route_index(manifest m);
 
     const manifest& source() const { return m_manifest; }
-    /// The route of the longest prefix that begins the path of `target`; a query does not count. Null if none does.
+    /// The route of the longest prefix that begins the path of `target`; a query does not count. Null if none
+    /// does.
     const route* find(std::string_view host, std::string_view target) const;
     const service* find_service(const std::string& name) const;
 
@@ -75,8 +77,8 @@
     std::unordered_map<std::string, const route*> m_by_host_and_prefix; // Key: host, then prefix.
 };
 
-/// Spreads a route's requests over its parts in an even sequence (smooth weighted round robin), so that any run of
-/// requests is within one request of the weights.
+/// Spreads a route's requests over its parts in an even sequence (smooth weighted round robin), so that any
+/// run of requests is within one request of the weights.
 class weighted_sequence {
 public:
     /// The index of the part that the next request goes to.
--- a/src/include/balsampost/core/server_selection.h
+++ b/src/include/balsampost/core/server_selection.h
@@ -1,5 +1,6 @@
-// What one instance knows of each backend server's load and speed, and the choice of the server for a request: the
-// earliest expected finish, near servers first, doubtful ones rarely; or a refusal, if none can finish in time.
+// What one instance knows of each backend server's load and speed, and the choice of the server for a
+// request: the earliest expected finish, near servers first, doubtful ones rarely; or a refusal, if none can
+// finish in time.
 #pragma once
 
 #include "balsampost/core/backend_directory.h"
@@ -47,13 +48,15 @@
     milliseconds report_half_life{400};
     /// Time after which half of what was learned of a server is forgotten, if it is asked nothing.
     milliseconds learned_half_life{1'000};
-    /// First time that a server is left alone after it could not be reached or fell silent; doubled each time.
+    /// First time that a server is left alone after it could not be reached or fell silent; doubled each
+    /// time.
     milliseconds first_rest{300};
     milliseconds longest_rest{2'000};
-    /// Part of the target latency that the expected finish may take: an answer takes longer than expected as often as
-    /// not.
+    /// Part of the target latency that the expected finish may take: an answer takes longer than expected as
+    /// often as not.
     double target_part = 0.85;
-    /// Part of a request's time that the expected finish may take; the rest is for what the expectation does not know.
+    /// Part of a request's time that the expected finish may take; the rest is for what the expectation does
+    /// not know.
     double limit_part = 0.85;
     /// A leaving server still serves keys that it owns for this long, while they are moved.
     milliseconds owner_leaving{1'500};
@@ -61,25 +64,27 @@
 
 /// What the choice needs to know of a request.
 struct selection_request {
-    milliseconds target{400};      ///< Left of the target latency; at most `limit`.
-    milliseconds limit{1'000};     ///< Left until the request's end.
+    milliseconds target{400};  ///< Left of the target latency; at most `limit`.
+    milliseconds limit{1'000}; ///< Left until the request's end.
     std::uint64_t body_bytes = 0;
     std::vector<std::string> avoid; ///< Ids of servers that the request was sent to already.
 };
 
 struct selection {
-    std::string server;       ///< Empty: none can finish in time.
-    milliseconds finish{0};   ///< Expected time to the answer.
+    std::string server;          ///< Empty: none can finish in time.
+    milliseconds finish{0};      ///< Expected time to the answer.
     milliseconds retry_after{0}; ///< If none: when capacity is expected to be free.
 };
 
 /// The servers of one service, as one instance sees them. Used from one thread.
 class server_pool {
 public:
-    server_pool(selection_settings settings, std::string failure_domain, std::map<std::string, std::string> regions);
+    server_pool(selection_settings settings, std::string failure_domain,
+                std::map<std::string, std::string> regions);
 
     /// Follows the directory; what was learned of servers that stay is kept.
-    void update(const std::vector<const backend*>& servers, std::uint32_t max_connections, std::uint32_t instances);
+    void update(const std::vector<const backend*>& servers, std::uint32_t max_connections,
+                std::uint32_t instances);
 
     selection choose(const selection_request& request, time_point now, std::mt19937_64& random) const;
     /// Whether the one server that may serve the request can finish it in time.
@@ -87,8 +92,8 @@
 
     void began(const std::string& server, time_point now);
     /// `took`: from sending the request to the end of the attempt.
-    void ended(const std::string& server, server_sign sign, milliseconds took, std::optional<load_report> report,
-               time_point now);
+    void ended(const std::string& server, server_sign sign, milliseconds took,
+               std::optional<load_report> report, time_point now);
     /// A caller's request was given up for a reason that says nothing of the server.
     void abandoned(const std::string& server);
 
@@ -113,14 +118,14 @@
         backend info;
         nearness where = nearness::other_region;
         std::uint32_t in_flight = 0;
-        double others = 0;            // Requests of other instances there, at `reported_at`.
+        double others = 0; // Requests of other instances there, at `reported_at`.
         time_point reported_at = never;
-        double service_ms = 0;        // Of one request without waiting; 0: nothing learned.
-        double failures = 0;          // Share of failed attempts, weighted to the last ones.
-        std::uint32_t samples = 0;    // Answers since they were last taken, and their time.
+        double service_ms = 0;     // Of one request without waiting; 0: nothing learned.
+        double failures = 0;       // Share of failed attempts, weighted to the last ones.
+        std::uint32_t samples = 0; // Answers since they were last taken, and their time.
         double sampled_ms = 0;
-        std::uint32_t answers = 0;    // In all.
-        std::uint32_t misses = 0;     // Attempts in a row that could not reach it or had no answer.
+        std::uint32_t answers = 0; // In all.
+        std::uint32_t misses = 0;  // Attempts in a row that could not reach it or had no answer.
         time_point rests_until = never;
         time_point last_ended = never; // Of the last attempt: what was learned counts less and less after it.
     };
--- a/src/include/balsampost/telemetry/log.h
+++ b/src/include/balsampost/telemetry/log.h
@@ -13,7 +13,8 @@
 
 enum class log_output : std::uint8_t {
     stderr_now,     ///< Standard error, each line at once.
-    bounded_stdout, ///< Standard output, by a thread of its own; lines beyond a bound are dropped and counted.
+    bounded_stdout, ///< Standard output, by a thread of its own; lines beyond a bound are dropped and
+                    ///< counted.
 };
 
 struct log_settings {
--- a/src/libbalsampost_core/key_coordinator.cpp
+++ b/src/libbalsampost_core/key_coordinator.cpp
@@ -686,7 +686,9 @@
     }
     const auto o = found->second;
     m_orders.erase(found);
-    const auto& [from, to, fence] = o.run;
+    const auto from = std::get<0>(o.run);
+    const auto to = std::get<1>(o.run);
+    const auto fence = std::get<2>(o.run);
     const auto state = m_runs.find(o.run);
     const bool in_doubt = doubtful(o.server, from, to, now);
     const auto ends = in_doubt ? now + m_settings.longest_work : now;
--- a/src/libbalsampost_core/key_ownership_test.cpp
+++ b/src/libbalsampost_core/key_ownership_test.cpp
@@ -309,7 +309,7 @@
         }
     }
     template <class Tell>
-    void store_write(std::size_t i, std::function<std::optional<std::uint64_t>()> attempt, Tell tell) {
+    void store_write(std::size_t i, const std::function<std::optional<std::uint64_t>()>& attempt, Tell tell) {
         const auto f = store_fate(i);
         if (f == fate::fine) {
             const auto revision = attempt();
@@ -371,7 +371,7 @@
     template <class Order, class Apply, class Delay, class Tell>
     void order(std::size_t i, const Order& a, Apply apply, Delay answered_after, Tell tell) {
         if (holder(a.to) == nullptr) { // The process has ended: its address refuses connections.
-            answer(i, milliseconds{2}, [this, a, tell](auto& c) {
+            answer(i, milliseconds{2}, [a, tell](auto& c) {
                 c.server_ended(a.to);
                 tell(c, order_outcome::not_sent);
             });
--- a/src/libbalsampost_core/key_plan_test.cpp
+++ b/src/libbalsampost_core/key_plan_test.cpp
@@ -5,6 +5,7 @@
 #include <rapidcheck.h>
 
 #include <algorithm>
+#include <cmath>
 #include <set>
 
 namespace balsampost::core {
@@ -42,7 +43,7 @@
             r.keys.emplace_back(next >> 16U, 1);
         }
         for (shard_key k = 0; k < keys; ++k) {
-            const auto count = static_cast<std::uint32_t>(hot / 4 / keys + 0.5);
+            const auto count = static_cast<std::uint32_t>(std::lround(hot / 4 / keys));
             if (count > 0) {
                 r.keys.emplace_back(from + k, count);
             }
--- a/src/libbalsampost_entry/forwarding.cpp
+++ b/src/libbalsampost_entry/forwarding.cpp
@@ -224,7 +224,8 @@
         return reply.headers.count(m_context.words.headers().integrity) > 0 ? server_sign::answered
                                                                             : server_sign::broken;
     }
-    return reply.status >= 500 || promises_not_run(reply.status) ? server_sign::failed : server_sign::answered;
+    return reply.status >= 500 || promises_not_run(reply.status) ? server_sign::failed
+                                                                 : server_sign::answered;
 }
 
 void forwarding::attempt_ended(const core::backend& server, core::time_point sent, exchange_result& result,
--- a/src/libbalsampost_telemetry/log.cpp
+++ b/src/libbalsampost_telemetry/log.cpp
@@ -7,8 +7,8 @@
 #include <boost/log/expressions.hpp>
 #include <boost/log/sinks/basic_sink_backend.hpp>
 #include <boost/log/sinks/sync_frontend.hpp>
-#include <boost/log/sinks/unlocked_frontend.hpp>
 #include <boost/log/sinks/text_ostream_backend.hpp>
+#include <boost/log/sinks/unlocked_frontend.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/log/sources/severity_logger.hpp>
 #include <boost/make_shared.hpp>
@@ -103,7 +103,7 @@
     std::string m_waiting;       // At most most_waiting_bytes.
     std::uint64_t m_dropped = 0; // Since the last write.
     bool m_stopping = false;
-    std::thread m_thread;        // Last: it uses the others.
+    std::thread m_thread; // Last: it uses the others.
 };
 
 boost::shared_ptr<bounded_output>& bounded_backend() {
