--- a/src/libbalsampost_core/key_table.cpp
+++ b/src/libbalsampost_core/key_table.cpp
@@ -90,33 +90,32 @@
 }
 
 void overlay(key_table& table, const std::vector<key_run>& runs) {
-    for (const auto& run : runs) {
-        std::vector<key_run> next;
-        next.reserve(table.runs.size() + 2);
-        bool placed = false;
-        const auto place = [&] {
-            if (!std::exchange(placed, true)) {
-                next.push_back(run);
-            }
-        };
-        for (const auto& old : table.runs) {
-            if (old.to < run.from) {
-                next.push_back(old);
-                continue;
-            }
-            if (old.from < run.from) {
-                next.push_back(old);
-                next.back().to = run.from - 1;
-            }
-            place();
-            if (old.to > run.to) {
-                next.push_back(old);
-                next.back().from = std::max(old.from, run.to + 1);
+    std::vector<key_run> out;
+    out.reserve(table.runs.size() + runs.size());
+    const auto keep = [&](const key_run& old, shard_key from, shard_key to) {
+        out.push_back(old);
+        out.back().from = from;
+        out.back().to = to;
+    };
+    auto changed = runs.begin();
+    shard_key next = 0; // The first key that is not placed yet.
+    for (const auto& old : table.runs) {
+        auto from = std::max(old.from, next);
+        while (changed != runs.end() && changed->from <= old.to) {
+            if (changed->from > from) {
+                keep(old, from, changed->from - 1);
             }
+            out.push_back(*changed);
+            from = changed->to + 1;
+            next = from;
+            ++changed;
+        }
+        if (from <= old.to) {
+            keep(old, from, old.to);
         }
-        place();
-        table.runs = std::move(next);
     }
+    out.insert(out.end(), changed, runs.end());
+    table.runs = std::move(out);
 }
 
 namespace {
--- a/src/libbalsampost_entry/entry.cpp
+++ b/src/libbalsampost_entry/entry.cpp
@@ -37,6 +37,8 @@
     250};                                    // Between the first and the last that would take a free tenure.
 constexpr core::milliseconds weak_wait{400}; // That the weakest instance leaves to the others besides.
 
+constexpr double weak_pause = 3; // How much longer the weakest instance waits between looks at the tenure.
+
 core::coordinator_settings coordinator_settings_of(const settings& s) {
     core::coordinator_settings out;
     out.longest_hold = s.bounds.longest_hold;
@@ -47,6 +49,12 @@
             static_cast<std::int64_t>(core::hash_of(s.instance.name) % takeover_spread.count())) +
         core::milliseconds(std::llround(s.resources.weakness() * static_cast<double>(weak_wait.count())));
     out.takeover_margin += out.first_wait;
+    // An instance that leaves the coordinator's part to others need not look for it as often.
+    const double seldom = 1 + weak_pause * s.resources.weakness();
+    const auto stretched = [&](core::milliseconds t) {
+        return core::milliseconds(std::llround(static_cast<double>(t.count()) * seldom));
+    };
+    out.poll_tenure = stretched(out.poll_tenure);
     return out;
 }
 
