--- a/src/include/balsampost/core/backend_directory.h
+++ b/src/include/balsampost/core/backend_directory.h
@@ -30,10 +30,10 @@
     std::string failure_domain;
     std::uint32_t slots = 1;
     bool draining = false;
-    milliseconds warmup_left{0}; ///< When the entry was read.
+    milliseconds warming_for{0}; ///< When the entry was read.
     time_point read_at{};        ///< When the entry was read.
 
-    time_point warm_at() const { return read_at + warmup_left; }
+    time_point warm_at() const { return read_at + warming_for; }
 };
 
 class backend_directory {
--- a/src/include/balsampost/core/key_coordinator.h
+++ b/src/include/balsampost/core/key_coordinator.h
@@ -56,6 +56,7 @@
     milliseconds plan_pause{400}; ///< Between plans that move keys for load; a plan's effect must show first.
     milliseconds settle_pause{1'000};  ///< A completed move may be in the store this much later: a successor
                                        ///< only releases once more what was released.
+    milliseconds retry_store{150};     ///< Before a store call that failed is made again.
     milliseconds retry_order{150};     ///< Before an order without an answer is sent again.
     milliseconds poll_tenure{600};     ///< Between looks at another holder's tenure, if it is not heard.
     milliseconds longest_work{10'000}; ///< That a request runs at a server.
--- a/src/libbalsampost_core/backend_directory.cpp
+++ b/src/libbalsampost_core/backend_directory.cpp
@@ -30,7 +30,7 @@
     // The same words read again say nothing new: what they say counts from the first reading.
     const bool unchanged = known != m_entries.end() && known->second.self == entry.self &&
                            known->second.draining == entry.draining &&
-                           known->second.warmup_left == entry.warmup_left;
+                           known->second.warming_for == entry.warming_for;
     entry.read_at = unchanged ? known->second.read_at : now;
     m_missing.erase(entry.self.id);
     auto id = entry.self.id;
