--- a/src/libbalsampost_core/key_coordinator_orders.cpp
+++ b/src/libbalsampost_core/key_coordinator_orders.cpp
@@ -1,4 +1,5 @@
-// Grants and releases: what servers may hold, what clears the way for a grant, and what follows from each outcome.
+// Grants and releases: what servers may hold, what clears the way for a grant, and what follows from each
+// outcome.
 #include "balsampost/core/key_coordinator.h"
 
 #include <algorithm>
--- a/src/libbalsampost_entry/entry_test.cpp
+++ b/src/libbalsampost_entry/entry_test.cpp
@@ -3,6 +3,7 @@
 // instances.
 #include "balsampost/entry/entry_metrics.h"
 #include "balsampost/entry/forwarding.h"
+#include "balsampost/entry/kind_watch.h"
 #include "balsampost/entry/peer_exchange.h"
 #include "balsampost/entry/settings.h"
 
@@ -216,6 +217,7 @@
     CPPUNIT_TEST(unknown_hosts_and_no_manifest);
     CPPUNIT_TEST(settings_faults_are_named);
     CPPUNIT_TEST(tables_in_news);
+    CPPUNIT_TEST(watches_end_soon_enough_to_show_a_lost_call);
     CPPUNIT_TEST_SUITE_END();
 
     /// For each way an attempt can end: what the caller of an idempotent request and of any other is told,
@@ -322,6 +324,31 @@
         CPPUNIT_ASSERT(!empty && empty.error().size() == 4);
     }
 
+    /// Seen on a hunted day: a call that a cut had swallowed hung for 20 s, while servers left.
+    void watches_end_soon_enough_to_show_a_lost_call() {
+        struct recording_store : object_store {
+            void list(const std::string&, store_handler<object_list> done) override { done(object_list{}); }
+            void watch(const std::string&, std::uint64_t, core::milliseconds wait,
+                       store_handler<object_changes>) override {
+                asked = wait;
+            }
+            void read(const std::string&, const std::string&, bool,
+                      store_handler<std::optional<stored_object>>) override {}
+            void write(const std::string&, const std::string&, const std::string&, std::uint64_t,
+                       store_handler<std::uint64_t>) override {}
+            core::milliseconds asked{0};
+        } store;
+        net::asio::io_context context{1};
+        timers clock(context);
+        const auto watch = std::make_shared<kind_watch>(
+            store, clock, "k",
+            watch_handlers{[](const auto&) {}, [](const auto&) {}, [] {}, [](auto) {}, [](auto) {}});
+        watch->start();
+        // The users' bounds give an instance three seconds after a cut before it must know what happened
+        // meanwhile.
+        CPPUNIT_ASSERT(store.asked > 0ms && store.asked <= 3s);
+    }
+
     void tables_in_news() {
         core::key_table table;
         table.term = 3;
--- a/src/libbalsampost_entry/kind_watch.cpp
+++ b/src/libbalsampost_entry/kind_watch.cpp
@@ -9,8 +9,9 @@
 
 namespace {
 
-// A watch that hears nothing ends after this; the connection's own probes find silence sooner.
-constexpr core::milliseconds longest_wait{20'000};
+// A watch that hears nothing ends after this. A call that a cut swallowed shows by nothing else, and an
+// instance must know of a leaving server within the bound of two seconds, three seconds after the cut.
+constexpr core::milliseconds longest_wait{2'500};
 // After a failure a call may have been lost on the way, which nothing but its own end shows: for a while
 // calls are short, so that news is no later than the bounds allow.
 constexpr core::milliseconds careful_wait{1'200};
