--- a/src/include/balsampost/core/home_agent.h
+++ b/src/include/balsampost/core/home_agent.h
@@ -42,7 +42,7 @@
 struct home_rules {
     bool within_own_right = true; ///< A server's lease never outlasts the home's own right.
     bool never_regrant = true;    ///< A slice reported as released is not granted again under the same epoch.
-    bool drain_before_release = true; ///< A planned release waits for the server's confirmation.
+    bool drain_before_release = true; ///< A planned release waits for the server's acknowledgement.
 };
 
 class home_agent {
