core, entry: a table write answered after a loss of authority orders nothing; orders are spread over steps

Beside it: hundreds of orders in one step kept an instance of half a core from reading the answers within an order's time, so that it lost authority in the middle of its own orders.

Change: calls of the table that were made before a tenure began are marked and their answers dropped; at most 64 orders are under way in all, runs take turns; an order whose tenure ended while the orders before it were sent is not sent.

Tests: a_table_written_before_a_loss_of_authority_orders_nothing and orders_are_spread_over_steps, both failing before.

--- a/src/include/balsampost/core/key_coordinator.h
+++ b/src/include/balsampost/core/key_coordinator.h
@@ -21,6 +21,7 @@
 
 #include "balsampost/core/key_plan.h"
 
+#include <algorithm>
 #include <map>
 #include <optional>
 #include <set>
@@ -68,6 +69,8 @@
     milliseconds longest_work{10'000};      ///< That a request runs at a server.
     milliseconds latest_order{12'000}; ///< An order without an answer may still be carried out for this long.
     std::uint32_t most_orders = 4;     ///< At one server at a time: each takes one of its connections.
+    std::uint32_t most_orders_in_all = 64; ///< Under way; more could not be carried out, and their answers
+                                           ///< read, within an order's time by half a core.
     coordinator_rules rules;
     milliseconds unheard{1'200}; ///< A holder that was not heard for this long is looked for in the store.
 };
@@ -220,12 +223,33 @@
         time_point sent{};
     };
 
+    /// What may still be ordered while earlier orders have no answer.
+    struct order_room {
+        std::map<incarnation, std::uint32_t> at_server;
+        std::uint32_t most_at_server = 0;
+        std::uint32_t left = 0;
+
+        bool full() const { return left == 0; }
+        bool has_room(const incarnation& server) const {
+            const auto found = at_server.find(server);
+            return left > 0 && (found == at_server.end() || found->second < most_at_server);
+        }
+        void take(const incarnation& server) {
+            ++at_server[server];
+            left -= std::min(left, 1U);
+        }
+    };
+
     /// A later incarnation under the same id, or a later server at the same address, shows that the earlier
     /// ended.
     void end_replaced();
     void step_tenure(time_point now, std::vector<coordinator_action>& out);
     void step_table(time_point now, std::vector<coordinator_action>& out);
     void step_orders(time_point now, std::vector<coordinator_action>& out);
+    void step_releases(const key_run& run, order_room& room, time_point now,
+                       std::vector<coordinator_action>& out);
+    void step_grant(const key_run& run, order_room& room, time_point now,
+                    std::vector<coordinator_action>& out);
     std::vector<key_move> plan_first(time_point now);
     std::vector<key_move> plan(time_point now);
     std::vector<key_server> owners() const;
@@ -249,6 +273,8 @@
     void adopt(key_table table, std::uint64_t revision);
     void settle(const key_run& run, time_point now);
     void begin_tenure();
+    /// Notes that the table call has ended; false if its answer must not be used.
+    bool end_table_call();
     void lose_authority();
     void keep_states();
     endpoint address_of(const incarnation& which) const;
@@ -302,12 +328,15 @@
     time_point m_settle_at = never; // The store's table is to show them then; `never` if there are none.
     key_table m_draft;              // As being written.
     bool m_table_call = false;
+    bool m_table_call_outdated =
+        false; // It was made before authority was last lost: its answer says nothing.
     time_point m_table_again = never;
     bool m_claimed = false;   // The table in the store is this tenure's.
     bool m_first_read = true; // The next table read is the first of this tenure.
 
     // Orders.
     std::map<run_key, run_state> m_runs;
+    shard_key m_next_run = 0; // The first run to be looked at, so that all have their turn.
     std::map<std::uint64_t, order_state> m_orders;
     std::uint64_t m_next_order = 1;
     std::vector<possible_hold> m_holds; // One entry a grant, or several when part of it was released.
--- a/src/libbalsampost_core/key_coordinator.cpp
+++ b/src/libbalsampost_core/key_coordinator.cpp
@@ -211,9 +211,13 @@
     m_runs = std::move(next);
 }
 
-void key_coordinator::table_read(std::uint64_t revision, std::optional<key_table> table, time_point now) {
+bool key_coordinator::end_table_call() {
     m_table_call = false;
-    if (!m_holds_tenure) {
+    return !std::exchange(m_table_call_outdated, false) && m_holds_tenure;
+}
+
+void key_coordinator::table_read(std::uint64_t revision, std::optional<key_table> table, time_point now) {
+    if (!end_table_call()) {
         return;
     }
     if (table && table->term > m_term) {
@@ -251,14 +255,13 @@
 }
 
 void key_coordinator::table_read_failed(time_point now) {
-    m_table_call = false;
+    end_table_call();
     m_table_again = now + m_settings.retry_store;
 }
 
 void key_coordinator::table_written(write_outcome outcome, std::uint64_t revision, time_point now) {
-    m_table_call = false;
-    if (!m_holds_tenure) {
-        return;
+    if (!end_table_call()) {
+        return; // The table is read before the next order.
     }
     if (outcome == write_outcome::done) {
         m_claimed = true;
--- a/src/libbalsampost_core/key_coordinator_orders.cpp
+++ b/src/libbalsampost_core/key_coordinator_orders.cpp
@@ -92,52 +92,71 @@
     if (!leads(now) || !m_claimed) {
         return;
     }
-    const auto hold = m_store_falters ? m_settings.longest_hold : m_settings.hold;
-    std::map<incarnation, std::uint32_t> under_way;
+    order_room room{{}, m_settings.most_orders, m_settings.most_orders_in_all};
     for (const auto& [order, o] : m_orders) {
-        ++under_way[o.server];
-    }
-    const auto busy = [&](const incarnation& server) { return under_way[server] >= m_settings.most_orders; };
-    for (const auto& run : m_view.runs) {
-        auto& s = m_runs[{run.from, run.to, run.fence}];
-        for (const auto& p : run.previous) {
-            if (s.released.contains(p) || ended(p) || s.releases[p] != 0 || !m_addresses.contains(p) ||
-                busy(p) || release_under_way(p, run.from, run.to)) {
-                continue;
-            }
-            auto& again = s.release_again[p];
-            if (now < again) {
-                due(again);
-                continue;
-            }
-            const auto order = m_next_order++;
-            s.releases[p] = order;
-            ++under_way[p];
-            m_orders[order] = {{run.from, run.to, run.fence}, p, milliseconds{0}, now};
-            out.emplace_back(send_release{order, p, address_of(p), run.from, run.to, run.fence});
-        }
-        if (run.owner.empty() || ended(run.owner) || s.order != 0 || s.refence ||
-            !m_addresses.contains(run.owner) || busy(run.owner)) {
-            continue;
+        room.take(o.server);
+    }
+    const auto& runs = m_view.runs;
+    const auto first =
+        std::find_if(runs.begin(), runs.end(), [&](const key_run& r) { return r.to >= m_next_run; });
+    const auto begin = static_cast<std::size_t>(first == runs.end() ? 0 : first - runs.begin());
+    for (std::size_t i = 0; i < runs.size(); ++i) {
+        const auto& run = runs[(begin + i) % runs.size()];
+        if (room.full()) {
+            m_next_run = run.from; // An order's end brings the next step.
+            return;
         }
-        if (!previous_cleared(run, s, now)) {
-            due(now + milliseconds{50});
+        step_releases(run, room, now, out);
+        step_grant(run, room, now, out);
+    }
+}
+
+void key_coordinator::step_releases(const key_run& run, order_room& room, time_point now,
+                                    std::vector<coordinator_action>& out) {
+    auto& s = m_runs[{run.from, run.to, run.fence}];
+    for (const auto& p : run.previous) {
+        if (s.released.contains(p) || ended(p) || s.releases[p] != 0 || !m_addresses.contains(p) ||
+            !room.has_room(p) || release_under_way(p, run.from, run.to)) {
             continue;
         }
-        const bool lengthen = m_store_falters && s.granted && s.hold < hold && s.failing_since == never;
-        if (now < s.renew_at && !lengthen) {
-            due(s.renew_at);
+        const auto again = s.release_again[p];
+        if (now < again) {
+            due(again);
             continue;
         }
         const auto order = m_next_order++;
-        s.order = order;
-        ++under_way[run.owner];
-        // Until the answer or the reset of its connection the grant may arrive at any time.
-        m_holds.push_back({run.owner, run.from, run.to, time_point::max(), order, run.fence});
-        m_orders[order] = {{run.from, run.to, run.fence}, run.owner, hold, now};
-        out.emplace_back(send_grant{order, run.owner, address_of(run.owner), run.from, run.to, run.fence,
-                                    hold, s.handover});
+        s.releases[p] = order;
+        room.take(p);
+        m_orders[order] = {{run.from, run.to, run.fence}, p, milliseconds{0}, now};
+        out.emplace_back(send_release{order, p, address_of(p), run.from, run.to, run.fence});
+    }
+}
+
+void key_coordinator::step_grant(const key_run& run, order_room& room, time_point now,
+                                 std::vector<coordinator_action>& out) {
+    auto& s = m_runs[{run.from, run.to, run.fence}];
+    if (run.owner.empty() || ended(run.owner) || s.order != 0 || s.refence ||
+        !m_addresses.contains(run.owner) || !room.has_room(run.owner)) {
+        return;
+    }
+    if (!previous_cleared(run, s, now)) {
+        due(now + milliseconds{50});
+        return;
+    }
+    const auto hold = m_store_falters ? m_settings.longest_hold : m_settings.hold;
+    const bool lengthen = m_store_falters && s.granted && s.hold < hold && s.failing_since == never;
+    if (now < s.renew_at && !lengthen) {
+        due(s.renew_at);
+        return;
     }
+    const auto order = m_next_order++;
+    s.order = order;
+    room.take(run.owner);
+    // Until the answer or the reset of its connection the grant may arrive at any time.
+    m_holds.push_back({run.owner, run.from, run.to, time_point::max(), order, run.fence});
+    m_orders[order] = {{run.from, run.to, run.fence}, run.owner, hold, now};
+    out.emplace_back(
+        send_grant{order, run.owner, address_of(run.owner), run.from, run.to, run.fence, hold, s.handover});
 }
 
 void key_coordinator::grant_ended(std::uint64_t order, order_outcome outcome, time_point now) {
--- a/src/libbalsampost_core/key_coordinator_tenure.cpp
+++ b/src/libbalsampost_core/key_coordinator_tenure.cpp
@@ -51,6 +51,7 @@
 }
 
 void key_coordinator::begin_tenure() {
+    m_table_call_outdated = m_table_call;
     m_claimed = false;
     m_table_known = false;
     m_first_read = true;
--- a/src/libbalsampost_core/key_coordinator_test.cpp
+++ b/src/libbalsampost_core/key_coordinator_test.cpp
@@ -185,6 +185,8 @@
     CPPUNIT_TEST(doubtful_server_is_granted_under_new_tokens_only);
     CPPUNIT_TEST(a_late_release_says_nothing_of_later_grants);
     CPPUNIT_TEST(lost_table_write_is_read_before_the_next_order);
+    CPPUNIT_TEST(a_table_written_before_a_loss_of_authority_orders_nothing);
+    CPPUNIT_TEST(orders_are_spread_over_steps);
     CPPUNIT_TEST(fenced_grant_is_sent_again_under_a_higher_token);
     CPPUNIT_TEST_SUITE_END();
 
@@ -529,6 +531,76 @@
         }
     }
 
+    /// Seen on lcx-wa-grown (hunt-b183-3, one play in three, OWNER 34): the answer to a write came after the
+    /// tenure had been lost and found to be this instance's again; its orders went out before the table was
+    /// read, and so before anything was known of grants that still ran.
+    void a_table_written_before_a_loss_of_authority_orders_nothing() {
+        auto w = with_servers(3);
+        auto c = coordinator("a@1");
+        c.update_servers(w.listed(), w.now);
+        w.run(c, seconds{3});
+        const auto silent = w.servers[0].self;
+        w.silent_servers.insert(silent.id);
+        w.servers[0].draining = true;
+        c.update_servers(w.listed(), w.now);
+        std::optional<write_table> written;
+        for (const auto& action : c.step(w.now)) {
+            if (const auto* write = std::get_if<write_table>(&action)) {
+                written = *write;
+            }
+        }
+        CPPUNIT_ASSERT(written);
+        w.table = written->table;
+        w.table_revision = ++w.revision;
+        const auto until = w.now + coordinator_settings{}.tenure;
+        const auto stays_held_until = w.now + seconds{2}; // Of the grants before.
+        w.now = until + milliseconds{1};
+        for (int round = 0; round < 20 && !c.leads(w.now); ++round) {
+            for (const auto& action : c.step(w.now)) {
+                std::visit([&](const auto& a) { w.handle(c, a); }, action);
+            }
+            w.now += milliseconds{5};
+        }
+        CPPUNIT_ASSERT(c.leads(w.now) && w.now < stays_held_until);
+        w.grants.clear();
+        c.table_written(write_outcome::done, w.table_revision, w.now);
+        const auto moved = written->table;
+        while (w.now < stays_held_until) {
+            w.settle(c);
+            for (const auto& g : w.grants) {
+                const auto* run = moved.find(g.from);
+                CPPUNIT_ASSERT_MESSAGE("granted while its earlier owner may hold it",
+                                       run != nullptr && !run->moving());
+            }
+            w.now += milliseconds{20};
+        }
+    }
+
+    /// Hundreds of orders at once would keep an instance of half a core from reading their answers in time.
+    void orders_are_spread_over_steps() {
+        auto w = with_servers(300);
+        auto c = coordinator("a@1");
+        c.update_servers(w.listed(), w.now);
+        const coordinator_settings defaults;
+        std::set<std::string> granted;
+        std::size_t most = 0;
+        const auto from = w.now;
+        while (granted.size() < 300) {
+            std::size_t orders = 0;
+            for (const auto& action : c.step(w.now)) {
+                if (const auto* g = std::get_if<send_grant>(&action)) {
+                    ++orders;
+                    granted.insert(g->to.id);
+                }
+                std::visit([&](const auto& a) { w.handle(c, a); }, action);
+            }
+            most = std::max(most, orders);
+            w.now += milliseconds{5};
+            CPPUNIT_ASSERT(w.now < from + defaults.latest_start + seconds{2});
+        }
+        CPPUNIT_ASSERT(most > 0 && most <= defaults.most_orders_in_all);
+    }
+
     void lost_table_write_is_read_before_the_next_order() {
         auto w = with_servers(3);
         auto c = coordinator("a@1");
--- a/src/libbalsampost_entry/key_service.cpp
+++ b/src/libbalsampost_entry/key_service.cpp
@@ -355,6 +355,11 @@
 }
 
 void key_service::run(const core::send_grant& a) {
+    if (!leads()) { // The orders before it in this step took their time.
+        m_coordinator.grant_ended(a.order, order_outcome::not_sent, now());
+        step();
+        return;
+    }
     if (m_contacted.contains(a.to) && m_orders.connections_to(a.at) == 0) {
         m_contacted.erase(a.to);
         m_coordinator.server_doubtful(a.to);
