entry, core: pipelined requests

The fault is older than pipelining: any caller that sends early met it.

Change: a session reads into a buffer of the listener whose bytes are used up before the next read. core::request_pipeline decides what may start and whose answer is next: idempotent requests of one connection together, nothing behind one that runs once before its answer, nothing new behind others in a stop.

--- a/src/include/balsampost/entry/caller_listener.h
+++ b/src/include/balsampost/entry/caller_listener.h
@@ -1,4 +1,4 @@
-// Callers' connections: requests are read whole, forwarded one after the other, and answered in order.
+// The listener for callers: accepts connections and stops them as a planned stop asks.
 #pragma once
 
 #include "balsampost/entry/forwarding.h"
@@ -6,6 +6,7 @@
 
 #include <memory>
 #include <set>
+#include <vector>
 
 namespace balsampost::entry {
 
@@ -22,7 +23,7 @@
     void begin_stop();
     /// From now on requests are refused: too little time is left to finish them.
     void refuse_new() { m_refusing = true; }
-    /// Closes connections that wait for no answer.
+    /// Closes connections that wait for no answer and on which no request has arrived.
     void close_quiet();
     /// Answers every request that is still under way; the servers may run some of them on.
     void answer_all();
@@ -35,13 +36,17 @@
 private:
     friend class caller_session;
     void accept();
+    void take(net::tcp::socket socket);
+    /// Takes the connections that the system has accepted already.
+    void accept_waiting();
 
     net::asio::io_context& m_context;
     forwarding_context m_forwarding;
     const settings& m_settings;
     net::tcp::acceptor m_acceptor;
     std::set<std::shared_ptr<caller_session>> m_sessions;
-    std::uint64_t m_body_bytes = 0; // Held in memory for requests under way.
+    std::vector<char> m_read_buffer; // Of all sessions: its bytes are used up before the next read.
+    std::uint64_t m_body_bytes = 0;  // Held in memory for requests under way and answers that wait.
     bool m_stopping = false;
     bool m_refusing = false;
 };
--- a/src/libbalsampost_core/key_coordinator_orders.cpp
+++ b/src/libbalsampost_core/key_coordinator_orders.cpp
@@ -63,8 +63,8 @@
             h.until = may_have_arrived ? runs_out : now;
         }
     }
-    // What has run out, and what this grant outlasts on the same keys, tells nothing any more. A later release
-    // may have ended this grant's own hold: then it outlasts nothing.
+    // What has run out, and what this grant outlasts on the same keys, tells nothing any more. A later
+    // release may have ended this grant's own hold: then it outlasts nothing.
     std::vector<possible_hold> own;
     std::copy_if(m_holds.begin(), m_holds.end(), std::back_inserter(own),
                  [&](const possible_hold& h) { return h.order == order && h.until > now; });
--- /dev/null
+++ b/src/libbalsampost_core/request_pipeline.cpp
@@ -0,0 +1,40 @@
+// Order of work and of answers on one connection.
+#include "balsampost/core/request_pipeline.h"
+
+#include <algorithm>
+
+namespace balsampost::core {
+
+request_pipeline::ticket request_pipeline::add(bool idempotent) {
+    m_requests.push_back({idempotent, progress::waiting});
+    return m_first + m_requests.size() - 1;
+}
+
+std::vector<request_pipeline::ticket> request_pipeline::take_startable() {
+    std::vector<ticket> out;
+    for (std::size_t i = 0; i < m_requests.size(); ++i) {
+        auto& r = m_requests[i];
+        const bool behind_others = i > 0;
+        if (behind_others && (m_stopped || !r.idempotent)) {
+            break;
+        }
+        if (r.progress == progress::waiting) {
+            r.progress = progress::started;
+            out.push_back(m_first + i);
+        }
+        if (!r.idempotent) {
+            break;
+        }
+    }
+    return out;
+}
+
+void request_pipeline::answered(ticket which) {
+    m_requests.at(which - m_first).progress = progress::answered;
+}
+
+bool request_pipeline::started_behind_first() const {
+    return m_requests.size() > 1 && m_requests[1].progress != progress::waiting;
+}
+
+} // namespace balsampost::core
--- /dev/null
+++ b/src/libbalsampost_core/request_pipeline_test.cpp
@@ -0,0 +1,104 @@
+// Pipelined requests against a plain reference: any mix of kinds, any order in which servers finish, a stop
+// at any time.
+#include "balsampost/core/request_pipeline.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <map>
+#include <utility>
+
+namespace balsampost::core {
+
+class request_pipeline_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(request_pipeline_test);
+    CPPUNIT_TEST(what_may_start);
+    CPPUNIT_TEST(any_order_of_events_keeps_the_promises);
+    CPPUNIT_TEST_SUITE_END();
+
+    void what_may_start() {
+        struct row {
+            const char* what;
+            std::vector<bool> idempotent;
+            bool stopped;
+            std::size_t starts;
+        };
+        const std::vector<row> rows{
+            {"one alone", {false}, false, 1},
+            {"idempotent ones together", {true, true, true}, false, 3},
+            {"nothing behind one that runs once", {false, true, true}, false, 1},
+            {"one that runs once waits for those before", {true, true, false, true}, false, 2},
+            {"a stop starts nothing behind the first", {true, true}, true, 1},
+        };
+        for (const auto& r : rows) {
+            request_pipeline p(8);
+            for (const bool idempotent : r.idempotent) {
+                p.add(idempotent);
+            }
+            if (r.stopped) {
+                p.stop();
+            }
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(r.what, r.starts, p.take_startable().size());
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(r.what, r.starts > 1, p.started_behind_first());
+            CPPUNIT_ASSERT_MESSAGE(r.what, p.take_startable().empty());
+        }
+    }
+
+    void any_order_of_events_keeps_the_promises() {
+        CPPUNIT_ASSERT(rc::check("pipeline", [] {
+            constexpr std::size_t most = 4;
+            request_pipeline p(most);
+            std::map<request_pipeline::ticket, bool> kinds;
+            std::vector<request_pipeline::ticket> running;
+            std::vector<request_pipeline::ticket> written;
+            bool stopped = false;
+            const auto events = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 1000));
+            for (const int e : events) {
+                if (e % 4 == 0 && !p.full()) {
+                    const bool idempotent = e % 3 != 0;
+                    const auto t = p.add(idempotent);
+                    RC_ASSERT(t == kinds.size() + 1);
+                    kinds[t] = idempotent;
+                } else if (e % 4 == 1 && !running.empty()) {
+                    const auto at = running.begin() + e % static_cast<int>(running.size());
+                    p.answered(*at);
+                    running.erase(at);
+                } else if (e % 4 == 2 && p.can_write()) {
+                    written.push_back(p.first());
+                    p.pop();
+                } else if (e % 100 == 3) {
+                    stopped = true;
+                    p.stop();
+                }
+                for (const auto t : p.take_startable()) {
+                    const bool first = t == written.size() + 1;
+                    RC_ASSERT(first || (!stopped && kinds.at(t)));
+                    for (auto earlier = written.size() + 1; earlier < t; ++earlier) {
+                        RC_ASSERT(kinds.at(earlier));
+                    }
+                    running.push_back(t);
+                }
+                RC_ASSERT(p.size() <= most);
+            }
+            // Everything that is left can be finished, in order.
+            while (!p.empty()) {
+                for (const auto t : p.take_startable()) {
+                    running.push_back(t);
+                }
+                for (const auto t : std::exchange(running, {})) {
+                    p.answered(t);
+                }
+                RC_ASSERT(p.can_write());
+                written.push_back(p.first());
+                p.pop();
+            }
+            RC_ASSERT(written.size() == kinds.size());
+            RC_ASSERT(std::is_sorted(written.begin(), written.end()));
+        }));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(request_pipeline_test);
+
+} // namespace balsampost::core
--- a/src/libbalsampost_entry/fakes.h
+++ b/src/libbalsampost_entry/fakes.h
@@ -4,11 +4,16 @@
 #include "balsampost/entry/platform.h"
 #include "balsampost/net/asio.h"
 
+#include <boost/asio/read_until.hpp>
+
 #include <array>
 #include <cstdlib>
 #include <deque>
+#include <functional>
+#include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace balsampost::entry {
 
@@ -84,6 +89,79 @@
     std::string m_last;
 };
 
+/// Answers each request with its own target as the body, at once or when asked to. Bodies are not read.
+class echo_backend {
+public:
+    explicit echo_backend(net::asio::io_context& context)
+        : m_acceptor(net::listen_on(context, {"127.0.0.1", 0})) {
+        accept();
+    }
+    core::endpoint at() const { return {"127.0.0.1", m_acceptor.local_endpoint().port()}; }
+    /// Targets of all requests, in the order in which they came.
+    const std::vector<std::string>& seen() const { return m_seen; }
+    /// Requests wait for `answer` from now on.
+    void hold() { m_held = true; }
+    void answer(const std::string& target) {
+        const auto found = m_waiting.find(target);
+        if (found != m_waiting.end()) {
+            const auto reply = found->second;
+            m_waiting.erase(found);
+            reply();
+        }
+    }
+
+private:
+    struct session : std::enable_shared_from_this<session> {
+        session(echo_backend& o, net::tcp::socket s) : owner(o), socket(std::move(s)) {}
+        void read() {
+            net::asio::async_read_until(socket, net::asio::dynamic_buffer(text), "\r\n\r\n",
+                                        [self = shared_from_this()](auto ec, std::size_t n) {
+                                            if (!ec) {
+                                                self->received(n);
+                                            }
+                                        });
+        }
+        void received(std::size_t n) {
+            const auto head = text.substr(0, n);
+            text.erase(0, n);
+            const auto from = head.find(' ') + 1;
+            const auto target = head.substr(from, head.find(' ', from) - from);
+            const auto id_at = head.find("Request-Id: ") + 12;
+            const auto id = head.substr(id_at, head.find("\r\n", id_at) - id_at);
+            owner.m_seen.push_back(target);
+            const auto reply = [self = shared_from_this(), target, id] {
+                net::error_code ignored;
+                net::asio::write(self->socket,
+                                 net::asio::buffer("HTTP/1.1 200 OK\r\nIntegrity: i\r\nRequest-Id: " + id +
+                                                   "\r\nContent-Length: " + std::to_string(target.size()) +
+                                                   "\r\n\r\n" + target),
+                                 ignored);
+                self->read();
+            };
+            if (owner.m_held) {
+                owner.m_waiting.emplace(target, reply);
+            } else {
+                reply();
+            }
+        }
+        echo_backend& owner;
+        net::tcp::socket socket;
+        std::string text;
+    };
+    void accept() {
+        m_acceptor.async_accept([this](auto ec, net::tcp::socket s) {
+            if (!ec) {
+                std::make_shared<session>(*this, std::move(s))->read();
+                accept();
+            }
+        });
+    }
+    net::tcp::acceptor m_acceptor;
+    std::vector<std::string> m_seen;
+    std::map<std::string, std::function<void()>> m_waiting; // By target.
+    bool m_held = false;
+};
+
 /// A platform of plain words; its store is not used here.
 class plain_platform : public platform {
 public:
