entry: servers that send bytes without end are cut off, and take no memory beyond a bound

Two faults found by the new test: a response that announced bytes of body made the parser reserve them, and the exception took the process down; a chunk's extension without end grew the buffer without bound. Beside them, interim responses had no bound, and all bodies together had none.

Change: a body's length is checked before the parser begins it; 128 KiB and 8 bytes a body byte of framing; 16 interim responses; bodies that are being read share a quarter of the memory, one takes an eighth at most.

Test: http_client_test, twelve kinds of endless bytes, fast and slow; each exchange ends as lost, the connection is closed and nothing stays counted.

--- a/src/include/balsampost/entry/http_client.h
+++ b/src/include/balsampost/entry/http_client.h
@@ -51,9 +51,10 @@
 using exchange_handler = std::function<bool(exchange_result&)>;
 
 struct client_limits {
-    core::milliseconds connect_time{400}; ///< A lost opening packet is sent again only after a second.
-    core::milliseconds idle_time{8'000};  ///< A connection idle for longer is not used again.
-    std::uint64_t body_bytes = 64U << 20U;
+    core::milliseconds connect_time{400};       ///< A lost opening packet is sent again only after a second.
+    core::milliseconds idle_time{8'000};        ///< A connection idle for longer is not used again.
+    std::uint64_t body_bytes = 64U << 20U;      ///< Of one response.
+    std::uint64_t all_body_bytes = 128U << 20U; ///< Of all responses that are being read.
 };
 
 class http_connection;
@@ -73,6 +74,8 @@
     std::size_t connections_to(const core::endpoint& to) const;
     void close_idle(const core::endpoint& to);
     std::uint64_t connections_opened() const { return m_opened; }
+    /// Of responses that are being read.
+    std::uint64_t body_bytes() const { return m_body_bytes; }
 
 private:
     friend class http_connection;
@@ -88,6 +91,7 @@
     client_limits m_limits;
     std::map<core::endpoint, target> m_targets;
     std::uint64_t m_opened = 0;
+    std::uint64_t m_body_bytes = 0;
 };
 
 } // namespace balsampost::entry
--- a/src/libbalsampost_entry/http_client.cpp
+++ b/src/libbalsampost_entry/http_client.cpp
@@ -20,6 +20,10 @@
 
 constexpr std::size_t read_size = 16U << 10U;
 constexpr std::uint32_t response_header_bytes = 32U << 10U;
+// Bytes of a response that are not its body: heads, and what frames chunks, of which some hold a single byte.
+constexpr std::uint64_t framing_bytes = 128U << 10U;
+constexpr std::uint64_t framing_per_body_byte = 8;
+constexpr int most_interim = 16;                       // Interim responses before a final one.
 constexpr core::milliseconds keep_alive_margin{1'000}; // Before the other side's own idle timeout.
 // Keep-alive probes find a connection that has gone silent: after 1 s, each second, lost after two.
 constexpr int probe_seconds = 1;
@@ -45,13 +49,9 @@
         m_busy = true;
         m_sent = false;
         m_written = false;
-        m_parser.reset();
-        m_parser = std::make_unique<response_parser>();
-        m_parser->header_limit(response_header_bytes);
-        m_parser->body_limit(m_owner.m_limits.body_bytes);
-        if (m_request.head_method) {
-            m_parser->skip(true);
-        }
+        m_interim = 0;
+        m_received = 0;
+        begin_response();
         const auto deadline = m_request.deadline;
         if (deadline != core::time_point::max()) {
             arm(deadline);
@@ -77,6 +77,7 @@
         m_closed = true;
         m_open = false;
         disarm();
+        release_body();
         error_code ec;
         if (reset) {
             m_socket.set_option(net::asio::socket_base::linger(true, 0), ec);
@@ -88,6 +89,25 @@
     const core::endpoint& to() const { return m_to; }
 
 private:
+    void begin_response() {
+        m_parser = std::make_unique<response_parser>();
+        m_parser->header_limit(response_header_bytes);
+        m_parser->body_limit(m_owner.m_limits.body_bytes);
+        if (m_request.head_method) {
+            m_parser->skip(true);
+        }
+    }
+
+    /// False if all responses together hold more than they may.
+    bool count_body() {
+        const auto size = m_parser->get().body().size();
+        m_owner.m_body_bytes += size - m_counted;
+        m_counted = size;
+        return m_owner.m_body_bytes <= m_owner.m_limits.all_body_bytes;
+    }
+
+    void release_body() { m_owner.m_body_bytes -= std::exchange(m_counted, 0); }
+
     void arm(core::time_point deadline) {
         m_timer = m_owner.m_clock.at(deadline, [weak = weak_from_this()] {
             if (const auto self = weak.lock()) {
@@ -204,6 +224,7 @@
             return;
         }
         m_buffer.commit(n);
+        m_received += n;
         if (!m_busy) {
             // Bytes that nobody asked for, or the end: either way the connection is of no more use.
             close(false);
@@ -230,7 +251,6 @@
 
     void parse() {
         error_code ec;
-        m_parser->eager(true);
         while (m_buffer.size() > 0 && !m_parser->is_done()) {
             const auto used = m_parser->put(m_buffer.data(), ec);
             m_buffer.consume(used);
@@ -241,19 +261,38 @@
                 fail("not a response: " + ec.message(), false);
                 return;
             }
+            if (m_parser->is_header_done() && !m_parser->is_done()) {
+                // Only now: the parser reserves memory for the whole length as soon as it begins the body.
+                const auto length = m_parser->content_length();
+                if (length && *length > m_owner.m_limits.body_bytes) {
+                    fail("the body is too large", false);
+                    return;
+                }
+                m_parser->eager(true);
+            }
             if (used == 0) {
                 break;
             }
         }
+        if (!count_body()) {
+            fail("the responses that are being read take too much memory", false);
+            return;
+        }
         if (!m_parser->is_done()) {
+            if (m_received > framing_bytes + (1 + framing_per_body_byte) * m_counted) {
+                fail("a response's framing without end", false);
+                return;
+            }
             read();
             return;
         }
         const auto status = m_parser->get().result_int();
         if (status >= 100 && status < 200) {
-            m_parser = std::make_unique<response_parser>();
-            m_parser->header_limit(response_header_bytes);
-            m_parser->body_limit(m_owner.m_limits.body_bytes);
+            if (++m_interim > most_interim) {
+                fail("interim responses without end", false);
+                return;
+            }
+            begin_response();
             if (m_buffer.size() > 0) {
                 parse();
             } else {
@@ -266,6 +305,7 @@
 
     void complete(bool reusable) {
         disarm();
+        release_body();
         exchange_result result;
         result.end = exchange_end::answered;
         auto message = m_parser->release();
@@ -336,6 +376,9 @@
     std::optional<timers::id> m_timer;
     core::time_point m_usable_until = core::never;
     std::size_t m_offset = 0;
+    std::uint64_t m_counted = 0;  // Of the client's body bytes.
+    std::uint64_t m_received = 0; // Bytes of the present response.
+    int m_interim = 0;            // Interim responses to the present request.
     std::uint32_t m_served = 0;
     bool m_open = false;
     bool m_busy = false;
