entry, core: a tree of relays for updates and reports

Relays merge reports (core::report_merger), pass updates on with their age and answer from their own history of tables (table_history). A relay asks the store itself before its members must; a member whose relay falls silent reports to the coordinator. Renewals are spread (300 a second, 1.3 s at the most). Weak instances look at the tenure later than those that may take it.

--- a/src/include/balsampost/core/key_coordinator.h
+++ b/src/include/balsampost/core/key_coordinator.h
@@ -46,13 +46,18 @@
     milliseconds renew_tenure{450}; ///< A quarter of the tenure: one lost answer is survived.
     milliseconds takeover_margin{150}; ///< Beyond the tenure, for clocks of unequal speed.
     milliseconds first_wait{0}; ///< Before a tenure that nobody holds is taken, so that not all try at once.
+    milliseconds first_look{0}; ///< Before the tenure is read for the first time: whoever is to take it comes
+                                ///< first.
     milliseconds hold{3'000}; ///< Of a grant in calm times: keys of a silent server are free after it. Longer
                               ///< than it takes to miss a coordinator and take its place.
     milliseconds longest_hold{10'000}; ///< Of a grant while the store falters; the servers' bound.
     milliseconds renew_hold{800};      ///< A third of the hold: two lost answers are survived.
-    double clock_drift = 0.02;         ///< A server's clock may run slow by this part.
-    milliseconds margin{200};          ///< Beyond the end of a grant, for its way to the server.
-    milliseconds faltering{350};       ///< A renewal without an answer for this long: the store falters.
+    milliseconds longest_renew{
+        1'300};                  ///< Between renewals where there are many: three tries fit into the rest.
+    double renewals_per_s = 300; ///< Beyond them, renewals are made less often.
+    double clock_drift = 0.02;   ///< A server's clock may run slow by this part.
+    milliseconds margin{200};    ///< Beyond the end of a grant, for its way to the server.
+    milliseconds faltering{350}; ///< A renewal without an answer for this long: the store falters.
     milliseconds settle{
         1'200}; ///< The list of servers must not have grown for this long before the first plan.
     milliseconds latest_start{4'000}; ///< The first plan is made then at the latest.
@@ -273,6 +278,8 @@
     void adopt(key_table table, std::uint64_t revision);
     void settle(const key_run& run, time_point now);
     void begin_tenure();
+    /// Between renewals of a grant.
+    milliseconds renew_pause() const;
     /// Notes that the table call has ended; false if its answer must not be used.
     bool end_table_call();
     void lose_authority();
--- a/src/include/balsampost/core/key_load.h
+++ b/src/include/balsampost/core/key_load.h
@@ -5,6 +5,7 @@
 #include "balsampost/core/key_table.h"
 
 #include <map>
+#include <set>
 #include <string>
 #include <tuple>
 #include <unordered_map>
@@ -43,6 +44,20 @@
     std::unordered_map<std::uint32_t, std::uint32_t> m_counts;
 };
 
+/// Puts the reports of several instances together, for a relay.
+class report_merger {
+public:
+    void add(const key_report& report);
+    /// Moves what was added into `report`, with at most `most` keys.
+    void take(key_report& report, std::size_t most);
+
+private:
+    std::unordered_map<shard_key, std::uint32_t> m_keys;
+    std::uint32_t m_unlisted = 0;
+    std::map<std::string, std::pair<std::uint32_t, std::uint32_t>> m_service_ms; // Answers, time in all.
+    std::set<std::string> m_unreachable;
+};
+
 /// Requests a second by key. Two memories: a long one against noise, and a short one that shows a hot spot as
 /// soon as it stands out. Sums over ranges are exact for each key, so that one key's load is not taken for
 /// its neighbours'.
--- a/src/include/balsampost/entry/key_service.h
+++ b/src/include/balsampost/entry/key_service.h
@@ -9,7 +9,6 @@
 #include "balsampost/entry/platform.h"
 #include "balsampost/entry/timers.h"
 
-#include <deque>
 #include <memory>
 #include <set>
 
@@ -28,13 +27,13 @@
     void update_servers(const std::vector<const core::backend*>& listed);
     void report(const core::key_report& r);
     void limit_work(core::milliseconds longest) { m_coordinator.limit_work(longest); }
-    /// The holder's news reached this instance.
+    /// An update of the holder reached this instance.
     void heard(std::uint64_t tenure_revision);
     /// Where the holder of the tenure takes reports; port 0 if none is known.
     core::endpoint holder_at() const;
     bool holder_is_self() const;
-    /// What the coordinator tells: the table, or what changed in it since `known`, if that is older.
-    peer_news news(const table_version& known) const;
+    /// What the coordinator adds to an update: its tenure and the parts that fit of overloaded servers.
+    void describe(peer_update& out) const;
     table_version version() const { return {m_coordinator.view_revision(), m_coordinator.view_settled()}; }
     const core::key_table& table() const { return m_coordinator.view(); }
     /// Called when this instance leads and its table has changed.
@@ -84,8 +83,6 @@
     bool m_led = false;
     std::function<void()> m_on_table;
     table_version m_told; // What m_on_table was last called for.
-    /// The last tables, the newest last, for news that hold only what changed.
-    std::deque<std::pair<table_version, core::key_table>> m_history;
 };
 
 /// The id of one run of the daemon, and the name that all its runs share.
--- a/src/include/balsampost/entry/kind_watch.h
+++ b/src/include/balsampost/entry/kind_watch.h
@@ -27,6 +27,13 @@
     std::function<void(core::milliseconds time)> doubted = [](core::milliseconds) {};
 };
 
+/// What other instances expect of a watch.
+enum class watch_role : std::uint8_t {
+    follower,  ///< Nothing: it rests while others publish.
+    relay,     ///< It passes updates on; when they grow old, it asks the store before its followers must.
+    publisher, ///< It never rests.
+};
+
 class kind_watch : public std::enable_shared_from_this<kind_watch> {
 public:
     /// `most_age`: of what is told; beyond it this instance asks the store itself.
@@ -42,9 +49,9 @@
     std::uint64_t revision() const { return m_revision; }
     std::uint32_t own_watches() const { return m_own_watches; }
 
-    /// Others rely on this watch: it never rests, and its calls are short.
-    void set_telling(bool telling);
-    /// What to tell a receiver at `revision`; its age counts from the store's last answer.
+    void set_role(watch_role role);
+    /// What to tell a receiver at `revision`; its age counts from the store's last answer to this instance or
+    /// to the one that it was told by.
     feed_part told_since(std::uint64_t revision) const;
     /// Another instance's part arrived.
     void take(const feed_part& part);
@@ -60,6 +67,9 @@
     /// Watches on, or waits while others tell.
     void go_on();
     void rest();
+    /// Until when this watch rests.
+    core::time_point rests_until() const;
+    bool told_last() const { return m_as_of != core::never && m_as_of > m_answered_at; }
 
     object_store& m_store;
     timers& m_timers;
@@ -70,12 +80,14 @@
     change_log m_log;             // Ends at m_revision.
     bool m_listed = false;
     bool m_stopped = false;
-    bool m_telling = false;
+    watch_role m_role = watch_role::follower;
     bool m_asleep = false; // Others tell: a timer will go on, and no call is under way.
     std::uint32_t m_own_watches = 0;
-    core::time_point m_told_until = core::never; // What others told is young enough until then.
-    core::time_point m_answered_at = core::never;
-    core::time_point m_returned_at = core::never; // First list, or the end of the last outage.
+    core::time_point m_told_until = core::never;  // What others told is young enough until then.
+    core::time_point m_answered_at = core::never; // By the store.
+    core::time_point m_as_of = core::never;       // What is known was true then, by whoever said so last.
+    core::time_point m_told_grace_until = core::never; // By whom this instance was told last.
+    core::time_point m_returned_at = core::never;      // First list, or the end of the last outage.
     core::time_point m_out_since = core::never;
     std::uint32_t m_failures = 0; // In a row.
     core::time_point m_careful_until = core::never;
--- a/src/include/balsampost/telemetry/events.h
+++ b/src/include/balsampost/telemetry/events.h
@@ -56,6 +56,7 @@
     order_failed = 724,
     key_order = 725,
     report_unusable = 726,
+    relay_lost = 727,
     lines_dropped = 730,
 };
 
--- a/src/libbalsampost_core/key_coordinator.cpp
+++ b/src/libbalsampost_core/key_coordinator.cpp
@@ -30,7 +30,8 @@
 key_coordinator::key_coordinator(coordinator_settings settings, std::string service, std::string self,
                                  endpoint self_at, time_point now)
     : m_settings(settings), m_service(std::move(service)), m_self(std::move(self)),
-      m_self_at(std::move(self_at)), m_started(now) {}
+      m_self_at(std::move(self_at)), m_started(now),
+      m_poll_at(settings.first_look > milliseconds{0} ? now + settings.first_look : never) {}
 
 // Servers
 
--- a/src/libbalsampost_core/key_coordinator_orders.cpp
+++ b/src/libbalsampost_core/key_coordinator_orders.cpp
@@ -164,6 +164,12 @@
         send_grant{order, run.owner, address_of(run.owner), run.from, run.to, run.fence, hold, s.handover});
 }
 
+milliseconds key_coordinator::renew_pause() const {
+    const auto all = milliseconds(static_cast<std::int64_t>(1000 * static_cast<double>(m_view.runs.size()) /
+                                                            m_settings.renewals_per_s));
+    return std::clamp(all, m_settings.renew_hold, m_settings.longest_renew);
+}
+
 void key_coordinator::grant_ended(std::uint64_t order, order_outcome outcome, time_point now) {
     const auto found = m_orders.find(order);
     if (found == m_orders.end()) {
@@ -191,7 +197,7 @@
         s.hold = o.hold;
         s.handover.clear();
         s.failing_since = never;
-        s.renew_at = o.sent + m_settings.renew_hold;
+        s.renew_at = o.sent + renew_pause();
         return;
     }
     if (outcome == order_outcome::fenced) {
--- a/src/libbalsampost_core/key_load.cpp
+++ b/src/libbalsampost_core/key_load.cpp
@@ -17,11 +17,7 @@
 constexpr double mean_weight =
     4; // Of the mean of all, in answers: the work of a single request varies severalfold.
 
-} // namespace
-
-void key_counter::take(key_report& report, std::size_t most) {
-    report.keys.assign(m_counts.begin(), m_counts.end());
-    m_counts.clear();
+void keep_busiest(key_report& report, std::size_t most) {
     std::sort(report.keys.begin(), report.keys.end(), [](const auto& a, const auto& b) {
         return a.second != b.second ? a.second > b.second : a < b;
     });
@@ -31,6 +27,40 @@
     }
 }
 
+} // namespace
+
+void key_counter::take(key_report& report, std::size_t most) {
+    report.keys.assign(m_counts.begin(), m_counts.end());
+    m_counts.clear();
+    keep_busiest(report, most);
+}
+
+void report_merger::add(const key_report& report) {
+    for (const auto& [key, requests] : report.keys) {
+        m_keys[key] += requests;
+    }
+    m_unlisted += report.unlisted;
+    for (const auto& [server, answers, ms] : report.service_ms) {
+        auto& sum = m_service_ms[server];
+        sum.first += answers;
+        sum.second += ms;
+    }
+    m_unreachable.insert(report.unreachable.begin(), report.unreachable.end());
+}
+
+void report_merger::take(key_report& report, std::size_t most) {
+    add(report);
+    report.keys.assign(m_keys.begin(), m_keys.end());
+    report.unlisted = m_unlisted;
+    report.service_ms.clear();
+    for (const auto& [server, sum] : m_service_ms) {
+        report.service_ms.emplace_back(server, sum.first, sum.second);
+    }
+    report.unreachable.assign(m_unreachable.begin(), m_unreachable.end());
+    keep_busiest(report, most);
+    *this = {};
+}
+
 void key_rates::memory::move_to(time_point now) {
     if (at != never && now > at) {
         unit *= std::exp(std::chrono::duration<double>(now - at) / length);
--- a/src/libbalsampost_entry/entry_store_news.cpp
+++ b/src/libbalsampost_entry/entry_store_news.cpp
@@ -1,4 +1,4 @@
-// What an entry learns from the store, and tells the others so that they need not ask it.
+// What an entry learns from the store, and passes on to others so that they need not ask it.
 #include "balsampost/entry/entry.h"
 
 #include "balsampost/telemetry/log.h"
@@ -15,7 +15,6 @@
 // call of the store.
 constexpr int told_age_percent = 65;
 constexpr int percent = 100;
-constexpr core::milliseconds feed_pause{25}; // Changes that arrive together are told together.
 
 } // namespace
 
@@ -136,25 +135,29 @@
                                             {"routes", std::to_string(decoded->routes.size())},
                                             {"revision", std::to_string(object.revision)}});
     m_state.set_manifest(std::move(*decoded));
-    for (const auto& [service, known] : m_tables) {
-        m_state.set_table(service, known.table);
+    for (const auto& [service, known] : m_known) {
+        m_state.set_table(service, known.tables.table());
     }
     update_key_services();
 }
 
-// Telling others
+// Updates for other instances
 
-bool entry::tells(const std::string& service) const {
-    // One instance tells, also where there are several coordinators.
-    const auto first = m_key_services.begin();
-    return first != m_key_services.end() && first->first == service && first->second->leads() && !m_stopping;
+bool entry::carries_feed(const std::string& service) const {
+    // One tree carries it, also where there are several coordinators.
+    return !m_key_services.empty() && m_key_services.begin()->first == service && !m_stopping;
 }
 
-void entry::update_telling() {
-    const bool telling =
-        !m_key_services.empty() && tells(m_key_services.begin()->first) && !m_reporters.empty();
+void entry::update_watch_roles() {
+    auto role = watch_role::follower;
+    if (!m_key_services.empty() && !m_stopping) {
+        const auto& [service, runner] = *m_key_services.begin();
+        if (!m_known[service].reporters.empty()) {
+            role = runner->leads() ? watch_role::publisher : watch_role::relay;
+        }
+    }
     for (const auto& watch : {m_backend_watch, m_manifest_watch}) {
-        watch->set_telling(telling);
+        watch->set_role(role);
     }
 }
 
@@ -180,30 +183,8 @@
 }
 
 void entry::feed_changed() {
-    if (m_feed_armed || m_key_services.empty() || !tells(m_key_services.begin()->first)) {
-        return;
-    }
-    m_feed_armed = true;
-    m_timers.at(now() + feed_pause, [this] {
-        m_feed_armed = false;
-        tell_feed();
-    });
-}
-
-void entry::tell_feed() {
-    if (m_key_services.empty() || !tells(m_key_services.begin()->first)) {
-        return;
-    }
-    const auto& [service, runner] = *m_key_services.begin();
-    auto news = runner->news(runner->version());
-    news.instances = static_cast<std::uint32_t>(m_reporters.size()) + 1;
-    for (const auto& [name, r] : m_reporters) {
-        news.feed = feed_since(r.kinds);
-        const bool anything = std::any_of(news.feed.begin(), news.feed.end(),
-                                          [](const feed_part& p) { return !p.changes.empty(); });
-        if (anything) {
-            m_peers.send(r.at, news);
-        }
+    if (!m_key_services.empty()) {
+        push_soon(m_key_services.begin()->first);
     }
 }
 
--- a/src/libbalsampost_entry/key_service.cpp
+++ b/src/libbalsampost_entry/key_service.cpp
@@ -22,7 +22,6 @@
 constexpr core::milliseconds probe_time{200};
 constexpr core::milliseconds step_pause{4};     // Answers that come together are looked at together.
 constexpr core::milliseconds resign_pause{200}; // Between tries to give a tenure up.
-constexpr std::size_t most_history = 12;        // Versions; more come in a second only while keys run hot.
 constexpr char run_separator = '@';
 
 write_outcome outcome_of(store_fault fault) {
@@ -126,28 +125,11 @@
     return tenure != nullptr && tenure->holder == m_instance;
 }
 
-peer_news key_service::news(const table_version& known) const {
-    peer_news out;
-    out.service = m_service;
+void key_service::describe(peer_update& out) const {
     out.tenure_revision = m_coordinator.tenure_revision();
-    out.version = version();
     for (const auto& [server, part] : m_coordinator.overloaded()) {
         out.admit_permille.emplace_back(server.id, static_cast<std::uint32_t>(std::lround(part * 1000)));
     }
-    if (known >= out.version || table().runs.empty()) {
-        return out;
-    }
-    const auto base =
-        std::find_if(m_history.begin(), m_history.end(), [&](const auto& h) { return h.first == known; });
-    if (base == m_history.end()) {
-        out.table = pack(table());
-        return out;
-    }
-    out.base = known;
-    auto part = table();
-    part.runs = core::changed_runs(base->second, table());
-    out.table = pack(part);
-    return out;
 }
 
 void key_service::look_at(const std::string& server_id) {
@@ -199,10 +181,6 @@
     }
     if (leads_now && m_told != version() && !table().runs.empty() && table().coordinator == m_instance) {
         m_told = version();
-        m_history.emplace_back(m_told, table());
-        if (m_history.size() > most_history) {
-            m_history.pop_front();
-        }
         m_on_table();
     }
     step_at(m_coordinator.next_due());
--- a/src/libbalsampost_entry/kind_watch.cpp
+++ b/src/libbalsampost_entry/kind_watch.cpp
@@ -25,6 +25,9 @@
 constexpr core::milliseconds telling_pause{300};
 // Of a watch that others rely on: their knowledge is at most this much older.
 constexpr core::milliseconds telling_wait{600};
+// A relay asks the store itself this part of the allowed age before its followers would.
+constexpr int relay_lead_percent = 25;
+constexpr int percent = 100;
 constexpr std::uint32_t unknown_age_ms = 1U << 30U;
 constexpr core::milliseconds return_time{2'000}; // Within it, lapsed entries of servers that live are back.
 constexpr core::milliseconds first_pause{100};   // After a failed call; doubled up to the longest.
@@ -64,10 +67,10 @@
 
 void kind_watch::watch() {
     ++m_own_watches;
-    const auto wait = m_out_since != core::never ? trying_wait
-                      : m_telling                ? telling_wait
-                      : now() < m_careful_until  ? careful_wait
-                                                 : longest_wait;
+    const auto wait = m_out_since != core::never       ? trying_wait
+                      : m_role != watch_role::follower ? telling_wait
+                      : now() < m_careful_until        ? careful_wait
+                                                       : longest_wait;
     m_store.watch(m_kind, m_revision, wait, [self = shared_from_this()](store_result<object_changes> answer) {
         if (!self->m_stopped) {
             self->changes_arrived(answer);
@@ -90,11 +93,12 @@
         go_on();
         return;
     }
-    m_timers.at(now() + (m_telling ? telling_pause : m_most_age / 2), [self = shared_from_this()] {
-        if (!self->m_stopped) {
-            self->go_on();
-        }
-    });
+    m_timers.at(now() + (m_role != watch_role::follower ? telling_pause : m_most_age / 2),
+                [self = shared_from_this()] {
+                    if (!self->m_stopped) {
+                        self->go_on();
+                    }
+                });
 }
 
 void kind_watch::apply(const std::vector<object_change>& changes, std::uint64_t revision) {
@@ -109,7 +113,7 @@
 }
 
 void kind_watch::go_on() {
-    if (m_telling || now() >= m_told_until) {
+    if (m_role == watch_role::publisher || now() >= rests_until()) {
         watch();
         return;
     }
@@ -119,12 +123,19 @@
     rest();
 }
 
+core::time_point kind_watch::rests_until() const {
+    if (m_role != watch_role::relay || m_told_until == core::never) {
+        return m_told_until;
+    }
+    return m_told_until - m_most_age * relay_lead_percent / percent;
+}
+
 void kind_watch::rest() {
-    m_timers.at(m_told_until, [self = shared_from_this()] {
+    m_timers.at(rests_until(), [self = shared_from_this()] {
         if (self->m_stopped || !self->m_asleep) {
             return;
         }
-        if (now() < self->m_told_until) {
+        if (now() < self->rests_until()) {
             self->rest();
             return;
         }
@@ -137,9 +148,9 @@
 
 // What others tell
 
-void kind_watch::set_telling(bool telling) {
-    m_telling = telling;
-    if (telling && std::exchange(m_asleep, false)) {
+void kind_watch::set_role(watch_role role) {
+    m_role = role;
+    if (role == watch_role::publisher && std::exchange(m_asleep, false)) {
         watch();
     }
 }
@@ -152,6 +163,11 @@
             std::max<std::int64_t>(0, std::chrono::duration_cast<core::milliseconds>(d).count()));
     };
     part.kind = m_kind;
+    if (told_last()) {
+        part.age_ms = ms(at - m_as_of);
+        part.doubt_ms = m_told_grace_until == core::never ? 0 : ms(m_told_grace_until - at);
+        return part;
+    }
     part.age_ms =
         m_out_since != core::never || m_answered_at == core::never ? unknown_age_ms : ms(at - m_answered_at);
     part.doubt_ms = m_returned_at == core::never ? 0 : ms(m_returned_at + return_time - at);
@@ -160,10 +176,15 @@
 
 void kind_watch::take(const feed_part& part) {
     const auto until = now() + m_most_age - core::milliseconds{part.age_ms};
-    if (!m_listed || m_telling || !applies_at(part, m_revision) || until <= now()) {
+    if (!m_listed || m_role == watch_role::publisher || !applies_at(part, m_revision) || until <= now()) {
         return;
     }
     m_told_until = std::max(m_told_until, until);
+    const auto as_of = until - m_most_age;
+    if (m_as_of == core::never || as_of > m_as_of) {
+        m_as_of = as_of;
+        m_told_grace_until = now() + core::milliseconds{part.doubt_ms};
+    }
     m_handlers.doubted(core::milliseconds{part.doubt_ms});
     if (part.to == m_revision) {
         return;
@@ -179,7 +200,7 @@
 
 void kind_watch::succeeded() {
     m_failures = 0;
-    m_answered_at = now();
+    m_answered_at = m_as_of = now();
     if (m_out_since != core::never) {
         const auto out = std::chrono::duration_cast<core::milliseconds>(now() - m_out_since);
         m_out_since = core::never;
--- a/src/libbalsampost_entry/peer_exchange.cpp
+++ b/src/libbalsampost_entry/peer_exchange.cpp
@@ -15,7 +15,7 @@
 namespace {
 
 constexpr std::size_t largest_datagram = 60U << 10U;
-enum class message_type : std::uint8_t { report = 1, news = 2 };
+enum class message_type : std::uint8_t { report = 1, update = 2 };
 
 /// Servers and runs of a table as plain numbers; a run names servers by their place in the list, from 1.
 struct packed_table {
@@ -120,11 +120,11 @@
         std::size_t offset = 0;
         const auto type = msgpack::unpack(m_buffer.data(), size, offset).get().as<std::uint8_t>();
         const auto message = msgpack::unpack(m_buffer.data(), size, offset);
+        const core::endpoint from{m_from.address().to_string(), m_from.port()};
         if (type == static_cast<std::uint8_t>(message_type::report)) {
-            m_handlers.reported(message.get().as<peer_report>(),
-                                {m_from.address().to_string(), m_from.port()});
-        } else if (type == static_cast<std::uint8_t>(message_type::news)) {
-            m_handlers.told(message.get().as<peer_news>());
+            m_handlers.reported(message.get().as<peer_report>(), from);
+        } else if (type == static_cast<std::uint8_t>(message_type::update)) {
+            m_handlers.updated(message.get().as<peer_update>(), from);
         } else {
             telemetry::log(event::report_unusable,
                            {{"reason", "unknown type"}, {"from", m_from.address().to_string()}});
@@ -141,9 +141,9 @@
     send_bytes(to, out.data(), out.size());
 }
 
-void peer_exchange::send(const core::endpoint& to, const peer_news& news) {
+void peer_exchange::send(const core::endpoint& to, const peer_update& update) {
     msgpack::sbuffer out;
-    pack_message(out, message_type::news, news);
+    pack_message(out, message_type::update, update);
     send_bytes(to, out.data(), out.size());
 }
 
--- /dev/null
+++ b/src/libbalsampost_entry/table_history.cpp
@@ -0,0 +1,70 @@
+// Whole tables and differences between them.
+#include "balsampost/entry/table_history.h"
+
+#include <algorithm>
+
+namespace balsampost::entry {
+
+namespace {
+
+constexpr std::size_t most_earlier = 12; // Versions; more come in a second only while keys run hot.
+
+} // namespace
+
+bool table_history::put(const table_version& version, core::key_table table, bool keep_earlier) {
+    if (version <= m_version) {
+        return false;
+    }
+    if (m_table && keep_earlier) {
+        m_earlier.emplace_back(m_version, m_table);
+    }
+    while (m_earlier.size() > (keep_earlier ? most_earlier : 0)) {
+        m_earlier.pop_front();
+    }
+    m_version = version;
+    m_table = std::make_shared<const core::key_table>(std::move(table));
+    return true;
+}
+
+void table_history::describe(peer_update& out, const table_version& known) const {
+    out.version = m_version;
+    if (known >= m_version || !m_table || m_table->runs.empty()) {
+        return;
+    }
+    const auto base = std::find_if(m_earlier.begin(), m_earlier.end(),
+                                   [&](const auto& entry) { return entry.first == known; });
+    if (base == m_earlier.end()) {
+        out.table = pack(*m_table);
+        return;
+    }
+    out.base = known;
+    auto part = *m_table;
+    part.runs = core::changed_runs(*base->second, *m_table);
+    out.table = pack(part);
+}
+
+std::string table_history::take(const peer_update& update, bool keep_earlier) {
+    if (update.table.empty() || update.version <= m_version) {
+        return {};
+    }
+    const bool whole = update.base == table_version{};
+    if (!whole && (!m_table || m_version < update.base)) {
+        return {}; // The next report says what this instance has.
+    }
+    auto table = unpack_table(update.table);
+    if (!table) {
+        return table.error().message;
+    }
+    if (!whole) {
+        auto merged = *m_table;
+        core::overlay(merged, table->runs);
+        table->runs = std::move(merged.runs);
+    }
+    if (!core::is_sound(*table)) {
+        return "its runs do not cover the keys once";
+    }
+    put(update.version, std::move(*table), keep_earlier);
+    return {};
+}
+
+} // namespace balsampost::entry
--- a/src/libbalsampost_telemetry/events.cpp
+++ b/src/libbalsampost_telemetry/events.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-constexpr std::array<event_rule, 47> rules{{
+constexpr std::array<event_rule, 48> rules{{
     {event::started, severity::info, "started", "the daemon listens on all its addresses"},
     {event::stopping, severity::info, "stopping", "a stop was asked for; the graceful shutdown begins"},
     {event::stopped, severity::info, "stopped", "the shutdown is complete"},
@@ -72,6 +72,8 @@
     {event::key_order, severity::debug, "key_order", "a grant or release was confirmed"},
     {event::report_unusable, severity::debug, "report_unusable",
      "a report of another instance could not be read"},
+    {event::relay_lost, severity::info, "relay_lost",
+     "the relay of updates fell silent; this instance reports to the coordinator"},
     {event::lines_dropped, severity::warning, "lines_dropped",
      "log lines were dropped, since the output did not take them in time"},
 }};
