core, entry: a store that is out is asked less often by those whom others will tell

Change: reads of the tenure that fail are made after 150 ms to 1.2 s, of the table after 0.6 to 2.4 s, and a follower whose relay or coordinator is heard waits up to 2.4 s: they try more often and pass on what they learn.

Tests: a_store_that_is_out_is_read_less_and_less, a_store_that_is_out_is_asked_less_often_by_followers, many_runs_are_renewed_less_often_and_in_time, weak_instances_look_later.

--- a/src/include/balsampost/core/key_coordinator.h
+++ b/src/include/balsampost/core/key_coordinator.h
@@ -65,8 +65,8 @@
     milliseconds settle_pause{1'000}; ///< A completed move may be in the store this much later: a successor
                                       ///< only releases once more what was released.
     milliseconds retry_store{150};    ///< Before a store call that failed is made again.
-    milliseconds longest_take_pause{1'200}; ///< Between tries to take a tenure from a store that turns them
-                                            ///< away; all instances try.
+    milliseconds longest_take_pause{1'200}; ///< Between tries to read or take a tenure while the store does
+                                            ///< not answer; all instances try.
     milliseconds retry_order{150};          ///< Before an order without an answer is sent again.
     milliseconds order_time{400};           ///< A grant without an answer is broken off after this.
     milliseconds probe_pause{500};          ///< Between tries to reach a server that was given up.
@@ -317,6 +317,7 @@
     time_point m_tenure_call_sent = never;
     time_point m_take_at = never; // A tenure is not tried to be taken before.
     milliseconds m_take_pause{0};
+    milliseconds m_read_pause{0}; // After the last read of the tenure that failed.
     // Whoever had authority before this tenure, this instance too, ordered nothing after this.
     time_point m_earlier_authority_until{};
     bool m_holds_tenure = false;
--- a/src/include/balsampost/entry/entry.h
+++ b/src/include/balsampost/entry/entry.h
@@ -112,6 +112,7 @@
         core::time_point coordinator_heard = core::never; // By this instance or its relay.
         core::time_point heard = core::never;             // Any update.
         core::time_point read_at = core::never;           // When the table was last looked for in the store.
+        core::milliseconds read_pause{600};               // Until it is looked for again.
         core::time_point pushed_at = core::never;
         bool push_armed = false;
         std::uint64_t tenure_revision = 0;
--- a/src/include/balsampost/entry/kind_watch.h
+++ b/src/include/balsampost/entry/kind_watch.h
@@ -34,6 +34,10 @@
     publisher, ///< It never rests.
 };
 
+/// Before a call is made again after `failures` in a row; longer while others try too and will say what they
+/// learn.
+core::milliseconds retry_pause(std::uint32_t failures, bool others_try);
+
 class kind_watch : public std::enable_shared_from_this<kind_watch> {
 public:
     /// `most_age`: of what is told; beyond it this instance asks the store itself.
@@ -84,6 +88,7 @@
     bool m_asleep = false; // Others tell: a timer will go on, and no call is under way.
     std::uint32_t m_own_watches = 0;
     core::time_point m_told_until = core::never;  // What others told is young enough until then.
+    core::time_point m_update_at = core::never;   // Of the last update of another instance.
     core::time_point m_answered_at = core::never; // By the store.
     core::time_point m_as_of = core::never;       // What is known was true then, by whoever said so last.
     core::time_point m_told_grace_until = core::never; // By whom this instance was told last.
--- a/src/libbalsampost_core/key_coordinator_tenure.cpp
+++ b/src/libbalsampost_core/key_coordinator_tenure.cpp
@@ -10,6 +10,7 @@
 void key_coordinator::tenure_read(std::uint64_t revision, std::optional<tenure_record> record,
                                   time_point now) {
     m_tenure_call = false;
+    m_read_pause = milliseconds{0};
     m_poll_at = now + m_settings.poll_tenure;
     if (m_tenure_known && revision < m_tenure_revision) {
         return; // A stale read.
@@ -47,7 +48,9 @@
 
 void key_coordinator::tenure_read_failed(time_point now) {
     m_tenure_call = false;
-    m_poll_at = now + m_settings.retry_store;
+    m_read_pause =
+        std::clamp<milliseconds>(2 * m_read_pause, m_settings.retry_store, m_settings.longest_take_pause);
+    m_poll_at = now + m_read_pause;
 }
 
 void key_coordinator::begin_tenure() {
--- a/src/libbalsampost_core/key_coordinator_test.cpp
+++ b/src/libbalsampost_core/key_coordinator_test.cpp
@@ -187,6 +187,9 @@
     CPPUNIT_TEST(lost_table_write_is_read_before_the_next_order);
     CPPUNIT_TEST(a_table_written_before_a_loss_of_authority_orders_nothing);
     CPPUNIT_TEST(orders_are_spread_over_steps);
+    CPPUNIT_TEST(many_runs_are_renewed_less_often_and_in_time);
+    CPPUNIT_TEST(a_store_that_is_out_is_read_less_and_less);
+    CPPUNIT_TEST(weak_instances_look_later);
     CPPUNIT_TEST(fenced_grant_is_sent_again_under_a_higher_token);
     CPPUNIT_TEST_SUITE_END();
 
@@ -601,6 +604,60 @@
         CPPUNIT_ASSERT(most > 0 && most <= defaults.most_orders_in_all);
     }
 
+    /// Seen on mackinlay-gw-large: 560 grants each 800 ms took a third of the coordinator's processor.
+    void many_runs_are_renewed_less_often_and_in_time() {
+        auto w = with_servers(500);
+        auto c = coordinator("a@1");
+        c.update_servers(w.listed(), w.now);
+        w.run(c, seconds{8});
+        std::map<std::string, time_point> last;
+        std::size_t grants = 0;
+        duration longest{};
+        const auto from = w.now;
+        while (w.now < from + seconds{10}) {
+            for (const auto& action : c.step(w.now)) {
+                if (const auto* g = std::get_if<send_grant>(&action)) {
+                    ++grants;
+                    if (const auto before = last.find(g->to.id); before != last.end()) {
+                        longest = std::max<duration>(longest, w.now - before->second);
+                    }
+                    last[g->to.id] = w.now;
+                }
+                std::visit([&](const auto& a) { w.handle(c, a); }, action);
+            }
+            w.now += milliseconds{5};
+        }
+        const coordinator_settings defaults;
+        CPPUNIT_ASSERT_EQUAL(std::size_t{500}, last.size());
+        CPPUNIT_ASSERT(grants <= 10 * 500 / 1.25);
+        CPPUNIT_ASSERT_MESSAGE("two tries more fit into the hold",
+                               longest + 2 * (defaults.order_time + defaults.retry_order) < defaults.hold);
+    }
+
+    void a_store_that_is_out_is_read_less_and_less() {
+        auto c = coordinator("a@1");
+        auto now = start;
+        std::size_t reads = 0;
+        while (now < start + seconds{12}) {
+            for (const auto& action : c.step(now)) {
+                if (std::holds_alternative<read_tenure>(action)) {
+                    ++reads;
+                    c.tenure_read_failed(now);
+                }
+            }
+            now += milliseconds{5};
+        }
+        CPPUNIT_ASSERT(reads >= 8 && reads <= 15);
+    }
+
+    void weak_instances_look_later() {
+        coordinator_settings settings;
+        settings.first_look = milliseconds{500};
+        key_coordinator c(settings, "beds", "a@1", {"10.0.0.9", 7000}, start);
+        CPPUNIT_ASSERT(c.step(start + milliseconds{499}).empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, c.step(start + milliseconds{500}).size());
+    }
+
     void lost_table_write_is_read_before_the_next_order() {
         auto w = with_servers(3);
         auto c = coordinator("a@1");
--- a/src/libbalsampost_entry/change_feed_test.cpp
+++ b/src/libbalsampost_entry/change_feed_test.cpp
@@ -111,6 +111,7 @@
     CPPUNIT_TEST(who_tells_never_rests);
     CPPUNIT_TEST(a_store_out_of_reach_makes_old_knowledge);
     CPPUNIT_TEST(calls_are_short_until_the_store_is_back);
+    CPPUNIT_TEST(a_store_that_is_out_is_asked_less_often_by_followers);
     CPPUNIT_TEST(a_relay_passes_on_how_old_its_knowledge_is);
     CPPUNIT_TEST(a_relay_asks_the_store_before_its_followers);
     CPPUNIT_TEST_SUITE_END();
@@ -227,6 +228,20 @@
 
     /// Seen on mackinlay-gw-grown (leaving-behind-a-cut, seed 840353231317): a call that the last of a cut
     /// swallowed, its end and the pause after it took more than the three seconds that an instance has.
+    /// Seen on mackinlay-gw-large trouble-3: 295 instances asked a store that was out four times a second
+    /// each.
+    void a_store_that_is_out_is_asked_less_often_by_followers() {
+        core::milliseconds alone{0};
+        core::milliseconds with_others{0};
+        for (std::uint32_t failures = 1; failures <= 8; ++failures) {
+            alone += retry_pause(failures, false);
+            with_others += retry_pause(failures, true);
+            CPPUNIT_ASSERT(retry_pause(failures, false) <= 800ms);
+            CPPUNIT_ASSERT(retry_pause(failures, true) <= 2'400ms);
+        }
+        CPPUNIT_ASSERT(with_others >= 2 * alone);
+    }
+
     void a_relay_passes_on_how_old_its_knowledge_is() {
         watched_kind relay;
         relay.watch->set_role(watch_role::relay);
--- a/src/libbalsampost_entry/entry_updates.cpp
+++ b/src/libbalsampost_entry/entry_updates.cpp
@@ -28,7 +28,9 @@
 // A relay that has not heard the coordinator for so long is no better than none. A coordinator that is lost
 // is replaced in less.
 constexpr core::milliseconds coordinator_lost{5'000};
-constexpr core::milliseconds table_read_pause{600};
+constexpr core::milliseconds table_read_pause{
+    600}; // Doubled while the store does not answer, up to the longest.
+constexpr core::milliseconds longest_table_read_pause{2'400};
 constexpr std::size_t most_keys = 256;          // In one instance's report.
 constexpr std::size_t most_merged_keys = 2'000; // In a relay's; more do not fit into a datagram.
 
@@ -57,6 +59,8 @@
 void entry::read_table(const std::string& service) {
     m_known[service].read_at = now();
     m_platform->store().read(key_table_kind, service, false, [this, service](const auto& answer) {
+        auto& pause = m_known[service].read_pause;
+        pause = answer ? table_read_pause : std::min(2 * pause, longest_table_read_pause);
         if (!answer || !*answer) {
             return; // The store's own failures are logged by the watches; without a table there is nothing to
                     // take.
@@ -161,7 +165,7 @@
     }
     const bool missing =
         older(known.heard, updates_missing) || older(known.coordinator_heard, coordinator_lost);
-    if (missing && older(known.read_at, table_read_pause) && now() - m_started > 2 * updates_missing) {
+    if (missing && older(known.read_at, known.read_pause) && now() - m_started > 2 * updates_missing) {
         read_table(name);
     }
 }
--- a/src/libbalsampost_entry/kind_watch.cpp
+++ b/src/libbalsampost_entry/kind_watch.cpp
@@ -32,6 +32,10 @@
 constexpr core::milliseconds return_time{2'000}; // Within it, lapsed entries of servers that live are back.
 constexpr core::milliseconds first_pause{100};   // After a failed call; doubled up to the longest.
 constexpr core::milliseconds longest_pause{800};
+// The same while another instance sends updates, however old: it tries as well, and will pass the store's
+// answer on. Those who are cut off from it still know of a change within the three seconds after a cut.
+constexpr core::milliseconds longest_follower_pause{2'400};
+constexpr core::milliseconds publisher_lost{1'200};
 
 } // namespace
 
@@ -41,6 +45,12 @@
     return names[static_cast<std::size_t>(fault)];
 }
 
+core::milliseconds retry_pause(std::uint32_t failures, bool others_try) {
+    constexpr std::uint32_t most_doublings = 5;
+    const auto doubled = first_pause * (1U << std::min(std::max(failures, 1U) - 1, most_doublings));
+    return std::min<core::milliseconds>(others_try ? longest_follower_pause : longest_pause, doubled);
+}
+
 void kind_watch::list() {
     m_store.list(m_kind, [self = shared_from_this()](store_result<object_list> answer) {
         if (!self->m_stopped) {
@@ -175,6 +185,7 @@
 }
 
 void kind_watch::take(const feed_part& part) {
+    m_update_at = now();
     const auto until = now() + m_most_age - core::milliseconds{part.age_ms};
     if (!m_listed || m_role == watch_role::publisher || !applies_at(part, m_revision) || until <= now()) {
         return;
@@ -225,9 +236,9 @@
         }
         ++m_failures;
     }
-    const auto pause =
-        gone ? core::milliseconds{0}
-             : std::min(longest_pause, first_pause * (1U << std::min<std::uint32_t>(m_failures - 1, 3)));
+    const bool others_try =
+        m_role == watch_role::follower && m_update_at != core::never && now() - m_update_at < publisher_lost;
+    const auto pause = gone ? core::milliseconds{0} : retry_pause(m_failures, others_try);
     m_timers.at(now() + pause, [self = shared_from_this(), again_from_list] {
         if (self->m_stopped) {
             return;
