core: a coordinator's step looks at every server only when it plans, and plans follow the fleet's size

Each step, up to 250 a second, worked out the speed of all 446 servers from a mean over all of them. Beside it: runs were bounded by 512 and moves by 24 a plan whatever the fleet, so that hot spots of 446 servers were cut 66 times at most.

Change: the mean is kept; servers are looked at when a plan is due; steps are 4 to 20 ms apart by the number of runs; runs up to two a server and a move for each six servers at once.

Test: a_hot_spot_is_spread_over_hundreds_of_servers, failing before.

--- a/src/include/balsampost/core/key_load.h
+++ b/src/include/balsampost/core/key_load.h
@@ -107,6 +107,8 @@
     double mean_ms() const;
 
     std::map<std::string, state> m_servers;
+    double m_answers = 0;  // Of all servers.
+    double m_total_ms = 0; // Of all servers: time by answers.
 };
 
 } // namespace balsampost::core
--- a/src/include/balsampost/core/key_plan.h
+++ b/src/include/balsampost/core/key_plan.h
@@ -5,6 +5,7 @@
 #include "balsampost/core/key_load.h"
 #include "balsampost/core/key_table.h"
 
+#include <algorithm>
 #include <map>
 #include <vector>
 
@@ -30,8 +31,16 @@
     double relief = 0.85;
     /// Room below this part of a server's fair load is not worth a move.
     double least_room = 0.05;
-    std::size_t most_moves = 24; ///< In one batch; each is an order to two servers.
-    std::size_t most_runs = 512; ///< Hot spots are not cut any further beyond this.
+    std::size_t most_moves =
+        24; ///< In one batch, or the next if it is more; each is an order to two servers.
+    std::size_t servers_per_move = 6;
+    std::size_t most_runs =
+        512; ///< Hot spots are not cut any further beyond this, or the next if it is more.
+    std::size_t most_runs_per_server = 2;
+
+    std::size_t moves_at_once(std::size_t servers) const {
+        return std::max(most_moves, servers / servers_per_move);
+    }
 };
 
 /// How the load lies on the servers: what a plan is decided by.
--- a/src/libbalsampost_core/key_coordinator.cpp
+++ b/src/libbalsampost_core/key_coordinator.cpp
@@ -340,10 +340,15 @@
 }
 
 std::vector<key_move> key_coordinator::plan(time_point now) {
-    const auto servers = owners();
-    // Keys of lost servers first; nothing else is planned in the same batch.
+    // Steps are many: what costs a look at every server waits until there is something to plan.
     const bool lost = std::any_of(m_view.runs.begin(), m_view.runs.end(),
                                   [this](const key_run& r) { return !fit(r.owner); });
+    if (!lost && m_fenced.empty() && now < m_plan_at) {
+        due(m_plan_at);
+        return {};
+    }
+    const auto servers = owners();
+    // Keys of lost servers first; nothing else is planned in the same batch.
     if (lost && !servers.empty()) {
         m_rates.advance(now);
         m_fenced.clear();
--- a/src/libbalsampost_core/key_load.cpp
+++ b/src/libbalsampost_core/key_load.cpp
@@ -134,6 +134,11 @@
         s.ms = (s.ms * s.answers + total_ms) / weight;
         s.answers = std::min(weight, most_answers);
     }
+    m_answers = m_total_ms = 0;
+    for (const auto& [id, s] : m_servers) {
+        m_answers += s.answers;
+        m_total_ms += s.ms * s.answers;
+    }
 }
 
 double server_speeds::service_ms(const std::string& server, double assumed) const {
@@ -150,13 +155,7 @@
 }
 
 double server_speeds::mean_ms() const {
-    double answers = 0;
-    double total = 0;
-    for (const auto& [id, s] : m_servers) {
-        answers += s.answers;
-        total += s.ms * s.answers;
-    }
-    return std::max(1.0, total / answers);
+    return std::max(1.0, m_total_ms / m_answers);
 }
 
 } // namespace balsampost::core
--- a/src/libbalsampost_core/key_plan.cpp
+++ b/src/libbalsampost_core/key_plan.cpp
@@ -224,7 +224,8 @@
             continue;
         }
         double wanted = mean * joined.server->capacity - joined.load;
-        for (int part = 0; part < 3 && wanted > 0 && moves.size() < settings.most_moves; ++part) {
+        for (int part = 0; part < 3 && wanted > 0 && moves.size() < settings.moves_at_once(servers.size());
+             ++part) {
             const key_run* source = nullptr;
             double most = 0;
             for (const auto& run : table.runs) {
@@ -266,8 +267,9 @@
     auto loads = loads_of(table, servers, rates);
     const double mean = mean_utilization(loads);
     const double hot = std::max(settings.hot_over_mean * mean, settings.hot_utilization);
+    const auto most_runs = std::max(settings.most_runs, settings.most_runs_per_server * servers.size());
     for (auto& [id, owner] : loads) {
-        if (owner.utilization() <= hot || table.runs.size() + moves.size() >= settings.most_runs) {
+        if (owner.utilization() <= hot || table.runs.size() + moves.size() >= most_runs) {
             continue;
         }
         // The densest run first: moving it relieves most for the fewest keys.
@@ -282,7 +284,7 @@
                   [&](const auto* a, const auto* b) { return density(a) > density(b); });
         for (const auto* run : runs) {
             const auto [from, to] = hot_span(*run, rates);
-            for (auto at = from; at <= to && moves.size() < settings.most_moves;) {
+            for (auto at = from; at <= to && moves.size() < settings.moves_at_once(servers.size());) {
                 const double excess = owner.load - mean * owner.server->capacity;
                 if (excess <= 0) {
                     break;
--- a/src/libbalsampost_core/key_plan_test.cpp
+++ b/src/libbalsampost_core/key_plan_test.cpp
@@ -62,6 +62,7 @@
     CPPUNIT_TEST(first_owners_follow_capacity);
     CPPUNIT_TEST(a_hot_spot_is_spread);
     CPPUNIT_TEST(one_hot_key_goes_to_the_fastest_and_its_neighbours_leave);
+    CPPUNIT_TEST(a_hot_spot_is_spread_over_hundreds_of_servers);
     CPPUNIT_TEST(lost_keys_are_shared_out);
     CPPUNIT_TEST(a_server_that_joined_gets_a_share);
     CPPUNIT_TEST(even_load_moves_nothing);
@@ -138,6 +139,26 @@
         CPPUNIT_ASSERT(beside - rates.rate(10, 10) < 25);
     }
 
+    /// A bound on runs that does not follow the number of servers left hot spots of large fleets uncut.
+    void a_hot_spot_is_spread_over_hundreds_of_servers() {
+        std::vector<key_server> servers;
+        for (int i = 0; i < 500; ++i) {
+            servers.push_back({{"s" + std::to_string(i), 1}, 11});
+        }
+        auto table = first_table(servers);
+        const auto rates = play(1'700, 600, 30'000, 200);
+        for (int batch = 0; batch < 5; ++batch) {
+            const auto moves = spread_hot(table, servers, rates, {});
+            apply_moves(table, moves);
+            for (auto& run : table.runs) {
+                run.previous.clear();
+            }
+        }
+        CPPUNIT_ASSERT(is_sound(table));
+        const auto most = summarize(table, servers, rates).most_utilization;
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(most), most < 1.2);
+    }
+
     void lost_keys_are_shared_out() {
         auto servers = equal_servers(6);
         auto table = first_table(servers);
--- a/src/libbalsampost_entry/key_service.cpp
+++ b/src/libbalsampost_entry/key_service.cpp
@@ -20,7 +20,10 @@
 // A release is answered when the work on its keys has ended.
 constexpr core::milliseconds release_time{1'500};
 constexpr core::milliseconds probe_time{200};
-constexpr core::milliseconds step_pause{4};     // Answers that come together are looked at together.
+// Answers that come together are looked at together; a look takes longer the more runs there are.
+constexpr core::milliseconds shortest_step_pause{4};
+constexpr core::milliseconds longest_step_pause{20};
+constexpr std::size_t runs_per_step_ms = 40;
 constexpr core::milliseconds resign_pause{200}; // Between tries to give a tenure up.
 constexpr char run_separator = '@';
 
@@ -163,7 +166,8 @@
 
 void key_service::step() {
     if (!m_stopped) {
-        step_at(now() + step_pause);
+        const core::milliseconds by_runs{static_cast<std::int64_t>(table().runs.size() / runs_per_step_ms)};
+        step_at(now() + std::clamp(by_runs, shortest_step_pause, longest_step_pause));
     }
 }
 
