entry: a burst of store changes reaches followers in several updates

Change: the log of changes is cut into batches, a segment carries as many as fit and says that there are more, and its receiver asks for the rest at once. Such data does not count as recent: the store is still asked until all changes have arrived. A list read after lost history is published as the difference to what was known, where it emptied the log before.

--- a/src/include/balsampost/core/key_coordinator.h
+++ b/src/include/balsampost/core/key_coordinator.h
@@ -13,9 +13,9 @@
 //  3. Keys are granted to another server only after each server that may hold them has confirmed a release
 //     under the new token, or its grants have expired for certain, or its incarnation has ended, which is
 //     shown by a later incarnation with the same id, or by a later server of any service at the same address.
-//     The answer of a server proves no end: a broken server may answer anything. A refused connection does not show it: a
-//     network partition may refuse connections, and a server that shuts down closes its listener while its
-//     last requests still run.
+//     The answer of a server proves no end: a broken server may answer anything. A refused connection does
+//     not show it: a network partition may refuse connections, and a server that shuts down closes its
+//     listener while its last requests still run.
 #pragma once
 
 #include "balsampost/core/key_plan.h"
@@ -356,7 +356,7 @@
     // Listed servers of all services that started last under an id, and at an address.
     std::map<std::string, incarnation> m_latest_by_id;
     std::map<endpoint, incarnation> m_latest_by_address;
-    std::set<incarnation> m_ended;               // Their processes have ended, so they hold no keys.
+    std::set<incarnation> m_ended; // Their processes have ended, so they hold no keys.
     std::set<std::string> m_ended_instances;
     struct unreachable_server {
         bool lost = false; // Owns no keys, even if it is listed.
--- a/src/include/balsampost/entry/change_feed.h
+++ b/src/include/balsampost/entry/change_feed.h
@@ -37,8 +37,13 @@
     /// Revision after `changes` are applied.
     std::uint64_t to = 0;
     std::vector<change> changes;
+    /// The sender's own revision; greater than `to` if not all changes fit into the message.
+    std::uint64_t latest = 0;
 
-    MSGPACK_DEFINE(kind, age_ms, grace_ms, from, to, changes);
+    /// Returns whether the sender has further changes for a receiver that has applied this segment.
+    bool has_more() const { return latest > to; }
+
+    MSGPACK_DEFINE(kind, age_ms, grace_ms, from, to, changes, latest);
 };
 
 /// Keeps the latest changes of one kind, to serve receivers at different revisions.
@@ -46,12 +51,13 @@
 public:
     /// Restarts the log from a complete list as of `revision`. Earlier changes are discarded.
     void reset(std::uint64_t revision);
-    /// Appends all changes between the log's current revision and `revision`.
+    /// Appends all changes between the log's current revision and `revision`. Many changes are cut into
+    /// batches, so that each fits into a message.
     void append(const std::vector<object_change>& changes, std::uint64_t revision);
     std::uint64_t revision() const { return m_revision; }
-    /// Returns the changes for a receiver at `revision`. If the log does not reach back that far, or the
-    /// changes do not fit into a message, the segment is empty and begins at the log's own revision, so that
-    /// the receiver cannot apply it.
+    /// Returns the changes for a receiver at `revision`: the earliest ones if not all fit into a message. If
+    /// the log does not reach back that far, or not even the first batch fits, the segment is empty and
+    /// begins at the log's own revision, so that the receiver cannot apply it.
     feed_segment since(std::uint64_t revision) const;
 
 private:
@@ -61,6 +67,8 @@
         std::vector<feed_segment::change> changes;
         std::size_t bytes = 0;
     };
+    void add(batch b);
+
     /// Contiguous: each batch begins where the previous one ends, and the last one ends at m_revision.
     std::deque<batch> m_batches;
     std::uint64_t m_revision = 0;
--- a/src/include/balsampost/entry/entry.h
+++ b/src/include/balsampost/entry/entry.h
@@ -41,7 +41,8 @@
     std::vector<feed_segment> feed_since(const std::map<std::string, std::uint64_t>& known) const;
     /// Schedules an update for the instances that report here.
     void publish_feed();
-    void apply_feed(const std::vector<feed_segment>& feed);
+    /// Returns whether the sender has further changes for this instance.
+    bool apply_feed(const std::vector<feed_segment>& feed);
     void directory_updated();
     void manifest_received(const stored_object& object);
     void backend_received(const stored_object& object);
@@ -51,6 +52,9 @@
     void report_loads();
     core::key_report load_report_of(const std::string& name, service_state& service);
     void report_load(const std::string& name, key_service& runner);
+    /// Reports this instance's versions without any load, to get the changes that did not fit into an update.
+    void request_update(const std::string& service);
+    peer_report versions_report(const std::string& service);
     void read_table(const std::string& service);
     /// Address to which this instance reports: its relay or the coordinator.
     core::endpoint report_target(const std::string& service, const key_service& runner);
@@ -135,6 +139,7 @@
         core::milliseconds table_read_delay{600};
         core::time_point pushed_at = core::never;
         bool push_scheduled = false;
+        bool update_requested = false;
         std::uint64_t tenure_revision = 0;
         std::vector<std::pair<std::string, std::uint32_t>> admit_permille;
     };
--- a/src/include/balsampost/entry/kind_watch.h
+++ b/src/include/balsampost/entry/kind_watch.h
@@ -7,7 +7,9 @@
 #include "balsampost/entry/platform.h"
 #include "balsampost/entry/timers.h"
 
+#include <map>
 #include <memory>
+#include <string>
 
 namespace balsampost::entry {
 
@@ -62,14 +64,18 @@
     /// Returns the update for a receiver at `revision`. Its age counts from the store's last answer, given
     /// either to this instance or to the publisher whose update it last applied.
     feed_segment segment_since(std::uint64_t revision) const;
-    /// Applies a segment of another instance if it is recent enough and adjoins the current revision.
-    void receive(const feed_segment& segment);
+    /// Applies a segment of another instance if it is recent enough and adjoins the current revision. Returns
+    /// whether the sender has further changes for this instance.
+    bool receive(const feed_segment& segment);
 
 private:
     void list();
     void watch();
     void list_received(store_result<object_list>& answer);
     void changes_received(store_result<object_changes>& answer);
+    /// Appends the difference between the known objects and a new complete list to the log, so that followers
+    /// need no list of their own.
+    void log_list(const object_list& list);
     void apply(const std::vector<object_change>& changes, std::uint64_t revision);
     void failed(store_fault fault, bool relist);
     void succeeded();
@@ -92,6 +98,8 @@
     std::uint64_t m_revision = 0;
     /// Ends at m_revision.
     change_log m_log;
+    /// Revision of each object as of m_revision, by name.
+    std::map<std::string, std::uint64_t> m_objects;
     bool m_listed = false;
     bool m_stopped = false;
     watch_role m_role = watch_role::follower;
--- a/src/include/balsampost/telemetry/line_writer.h
+++ b/src/include/balsampost/telemetry/line_writer.h
@@ -1,5 +1,5 @@
-// Writes log lines to a file descriptor so that a reader gets whole lines or none: on pipes that are full, slow
-// or take a part of a write.
+// Writes log lines to a file descriptor so that a reader gets whole lines or none: on pipes that are full,
+// slow or take a part of a write.
 #pragma once
 
 #include <chrono>
@@ -15,8 +15,9 @@
     line_writer(int descriptor, std::chrono::milliseconds stall_timeout)
         : m_descriptor(descriptor), m_stall_timeout(stall_timeout) {}
 
-    /// Writes `lines`, each ended by a newline, in pieces of whole lines that a pipe takes at once. Waits while
-    /// the descriptor takes nothing, up to the stall timeout. Returns the number of lines that were dropped.
+    /// Writes `lines`, each ended by a newline, in pieces of whole lines that a pipe takes at once. Waits
+    /// while the descriptor takes nothing, up to the stall timeout. Returns the number of lines that were
+    /// dropped.
     std::uint64_t write(std::string_view lines);
 
 private:
--- a/src/libbalsampost_core/key_coordinator.cpp
+++ b/src/libbalsampost_core/key_coordinator.cpp
@@ -69,8 +69,8 @@
 
 void key_coordinator::end_replaced_servers() {
     const auto is_later = [this](const incarnation& later, const incarnation& which) {
-        return later != which && (later.started_ms > which.started_ms ||
-                                  !m_settings.rules.only_later_start_ends_a_server);
+        return later != which &&
+               (later.started_ms > which.started_ms || !m_settings.rules.only_later_start_ends_a_server);
     };
     for (const auto& [which, address] : m_addresses) {
         if (ended(which)) {
--- a/src/libbalsampost_core/key_coordinator_test.cpp
+++ b/src/libbalsampost_core/key_coordinator_test.cpp
@@ -393,12 +393,12 @@
             c.update_servers(w.listed(), w.now);
             w.run(c, milliseconds{100});
             const auto& ranges = c.effective_table().ranges;
-            CPPUNIT_ASSERT_EQUAL_MESSAGE(r.name, r.ends,
-                                         std::none_of(ranges.begin(), ranges.end(),
-                                                      [](const auto& range) { return range.moving(); }));
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(
+                r.name, r.ends,
+                std::none_of(ranges.begin(), ranges.end(), [](const auto& range) { return range.moving(); }));
             CPPUNIT_ASSERT_MESSAGE(r.name, std::none_of(ranges.begin(), ranges.end(), [&](const auto& range) {
-                return range.owner == other.self;
-            }));
+                                       return range.owner == other.self;
+                                   }));
         }
     }
 
--- a/src/libbalsampost_core/key_ownership_test.cpp
+++ b/src/libbalsampost_core/key_ownership_test.cpp
@@ -233,7 +233,8 @@
             m_running_servers.erase(m_listed.at(id).self);
             start_server(id);
         }
-        if (m_replaces_servers && chance(0.004)) { // A server ends for good; its address goes to a server of another service.
+        if (m_replaces_servers &&
+            chance(0.004)) { // A server ends for good; its address goes to a server of another service.
             replace_by_another_service(pick_server());
         }
         if (chance(0.004)) { // The entry of a running server expires and is listed again afterwards.
@@ -520,7 +521,7 @@
     std::vector<time_point> m_paused_until;
     std::vector<time_point> m_next_directory_update;
     std::map<std::string, backend> m_listed;
-    std::map<std::string, backend> m_other_service; // Listed servers of another service.
+    std::map<std::string, backend> m_other_service;                  // Listed servers of another service.
     std::map<incarnation, simulated_server> m_running_servers;       // Running processes.
     std::map<std::pair<std::size_t, std::string>, time_point> m_cut; // By coordinator and server.
     std::int64_t m_last_incarnation = 0;
@@ -592,8 +593,7 @@
             {"wait_out_inherited_grants", &key_coordinator_rules::wait_out_inherited_grants},
             {"assume_unanswered_granted", &key_coordinator_rules::assume_unanswered_granted},
             {"clear_previous_owners", &key_coordinator_rules::clear_previous_owners},
-            {"only_later_start_ends_a_server", &key_coordinator_rules::only_later_start_ends_a_server,
-             true},
+            {"only_later_start_ends_a_server", &key_coordinator_rules::only_later_start_ends_a_server, true},
         };
         constexpr std::uint64_t max_seed = 150;
         std::string undetected;
--- a/src/libbalsampost_entry/change_feed.cpp
+++ b/src/libbalsampost_entry/change_feed.cpp
@@ -2,6 +2,7 @@
 #include "balsampost/entry/change_feed.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace balsampost::entry {
 
@@ -10,6 +11,8 @@
 constexpr std::size_t max_batches = 64; // Several seconds of changes at the highest rate.
 // Two kinds and a key table share one datagram of 60 KiB.
 constexpr std::size_t max_segment_bytes = 20U << 10U;
+// Batches are cut at this size, so that a burst of changes is sent in several segments.
+constexpr std::size_t max_batch_bytes = 8U << 10U;
 constexpr std::size_t change_overhead_bytes = 48; // Name, revision and framing of one change.
 
 } // namespace
@@ -23,11 +26,27 @@
     if (revision <= m_revision && changes.empty()) {
         return;
     }
+    // A receiver's position is a revision: a batch ends only where all later changes have higher revisions.
+    std::vector<std::uint64_t> lowest_from(changes.size() + 1, std::max(revision, m_revision));
+    for (auto i = changes.size(); i-- > 0;) {
+        lowest_from[i] = std::min(lowest_from[i + 1], changes[i].object.revision);
+    }
     batch b{m_revision, std::max(revision, m_revision), {}, 0};
-    for (const auto& c : changes) {
+    auto highest = m_revision;
+    for (std::size_t i = 0; i < changes.size(); ++i) {
+        const auto& c = changes[i];
+        if (b.bytes >= max_batch_bytes && highest > b.from && highest < lowest_from[i]) {
+            const auto end = std::exchange(b.to, highest);
+            add(std::exchange(b, batch{highest, end, {}, 0}));
+        }
         b.bytes += c.object.value.size() + change_overhead_bytes;
         b.changes.push_back({c.object.name, c.object.revision, c.object.value, c.removed});
+        highest = std::max(highest, c.object.revision);
     }
+    add(std::move(b));
+}
+
+void change_log::add(batch b) {
     m_revision = b.to;
     m_batches.push_back(std::move(b));
     if (m_batches.size() > max_batches) {
@@ -37,25 +56,27 @@
 
 feed_segment change_log::since(std::uint64_t revision) const {
     feed_segment segment;
-    segment.from = segment.to = m_revision;
+    segment.from = segment.to = segment.latest = m_revision;
     if (revision >= m_revision) {
         return segment;
     }
     // The first batch may repeat changes that the receiver has applied. Applying them again in order leads to
     // the same state.
     auto first = m_batches.size();
-    std::size_t bytes = 0;
     while (first > 0 && m_batches[first - 1].to > revision) {
         --first;
-        bytes += m_batches[first].bytes;
     }
-    if (first == m_batches.size() || m_batches[first].from > revision || bytes > max_segment_bytes) {
+    if (first == m_batches.size() || m_batches[first].from > revision ||
+        m_batches[first].bytes > max_segment_bytes) {
         return segment;
     }
     segment.from = m_batches[first].from;
-    for (; first < m_batches.size(); ++first) {
-        segment.changes.insert(segment.changes.end(), m_batches[first].changes.begin(),
-                               m_batches[first].changes.end());
+    std::size_t bytes = 0;
+    for (; first < m_batches.size() && bytes + m_batches[first].bytes <= max_segment_bytes; ++first) {
+        const auto& b = m_batches[first];
+        bytes += b.bytes;
+        segment.to = b.to;
+        segment.changes.insert(segment.changes.end(), b.changes.begin(), b.changes.end());
     }
     return segment;
 }
--- a/src/libbalsampost_entry/change_feed_test.cpp
+++ b/src/libbalsampost_entry/change_feed_test.cpp
@@ -37,10 +37,10 @@
     void write(const std::string&, const std::string&, const std::string&, std::uint64_t,
                store_handler<std::uint64_t>) override {}
 
-    void answer_list(std::uint64_t revision) {
+    void answer_list(std::uint64_t revision, std::vector<stored_object> objects = {}) {
         const auto done = std::move(lists.front());
         lists.pop_front();
-        done(object_list{{}, revision});
+        done(object_list{std::move(objects), revision});
     }
     void answer_watch(store_result<object_changes> answer) {
         const auto done = std::move(watches.front());
@@ -105,6 +105,8 @@
 class change_feed_test : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(change_feed_test);
     CPPUNIT_TEST(segments_of_a_change_log);
+    CPPUNIT_TEST(a_burst_of_changes_arrives_in_several_segments);
+    CPPUNIT_TEST(a_list_after_lost_history_is_published_as_changes);
     CPPUNIT_TEST(a_watch_pauses_while_another_instance_publishes);
     CPPUNIT_TEST(a_watch_resumes_at_the_last_published_revision);
     CPPUNIT_TEST(unusable_segments_are_ignored);
@@ -155,6 +157,70 @@
         CPPUNIT_ASSERT(can_apply(log.since(198), 198));
     }
 
+    /// A burst of changes that did not fit into one message left all followers behind for good: each had to
+    /// ask the store, and those that the store turned away used a server that had left (fjederpris-grown
+    /// fresh-577e).
+    void a_burst_of_changes_arrives_in_several_segments() {
+        struct row {
+            const char* name;
+            std::uint64_t changes;
+            std::size_t value_bytes;
+            bool in_one_answer;
+        };
+        const row rows[] = {{"one answer of the store", 300, 250, true},
+                            {"many answers", 60, 1'200, false},
+                            {"few changes", 5, 250, true}};
+        for (const auto& r : rows) {
+            watch_fixture publisher;
+            publisher.watch->set_role(watch_role::publisher);
+            publisher.store.answer_watch(object_changes{{}, 10});
+            std::vector<object_change> changes;
+            for (std::uint64_t i = 1; i <= r.changes; ++i) {
+                changes.push_back(update_of("s" + std::to_string(i % 150), 10 + i));
+                changes.back().object.value.assign(r.value_bytes, 'x');
+                if (i == r.changes || !r.in_one_answer) {
+                    publisher.run_until([&] { return !publisher.store.watches.empty(); });
+                    publisher.store.answer_watch(object_changes{std::exchange(changes, {}), 10 + i});
+                }
+            }
+            watch_fixture follower;
+            int segments = 0;
+            bool has_more = true;
+            while (has_more && segments < 20) {
+                const auto segment = publisher.watch->segment_since(follower.watch->revision());
+                has_more = follower.watch->receive(segment);
+                ++segments;
+                if (has_more) { // Not up to date yet: the store is still asked.
+                    const auto calls = follower.watch->watch_calls();
+                    follower.store.answer_watch(object_changes{{}, follower.watch->revision()});
+                    CPPUNIT_ASSERT_EQUAL_MESSAGE(r.name, calls + 1, follower.watch->watch_calls());
+                }
+            }
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(r.name, 10 + r.changes, follower.watch->revision());
+            CPPUNIT_ASSERT_MESSAGE(r.name, follower.objects == publisher.objects);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(r.name, r.changes < 10, segments == 1);
+        }
+    }
+
+    void a_list_after_lost_history_is_published_as_changes() {
+        watch_fixture publisher;
+        publisher.watch->set_role(watch_role::publisher);
+        publisher.store.answer_watch(object_changes{{update_of("a", 11), update_of("b", 12)}, 12});
+        watch_fixture follower;
+        follower.watch->receive(publisher.watch->segment_since(10));
+        publisher.run_until([&] { return !publisher.store.watches.empty(); });
+        publisher.store.answer_watch(tl::make_unexpected(store_fault::history_gone));
+        publisher.run_until([&] { return !publisher.store.lists.empty(); });
+        publisher.store.answer_list(20, {{"b", 12, "v"}, {"c", 15, "v"}});
+        const auto segment = publisher.watch->segment_since(12);
+        CPPUNIT_ASSERT(can_apply(segment, 12));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, segment.changes.size());
+        follower.watch->receive(segment);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{20}, follower.watch->revision());
+        const std::map<std::string, std::uint64_t> expected{{"b", 12}, {"c", 15}};
+        CPPUNIT_ASSERT(follower.objects == expected);
+    }
+
     void a_watch_pauses_while_another_instance_publishes() {
         watch_fixture k;
         CPPUNIT_ASSERT_EQUAL(1U, k.watch->watch_calls());
--- a/src/libbalsampost_entry/entry_store_watches.cpp
+++ b/src/libbalsampost_entry/entry_store_watches.cpp
@@ -189,14 +189,16 @@
     }
 }
 
-void entry::apply_feed(const std::vector<feed_segment>& feed) {
+bool entry::apply_feed(const std::vector<feed_segment>& feed) {
+    bool has_more = false;
     for (const auto& segment : feed) {
         for (const auto& watch : {m_backend_watch, m_manifest_watch}) {
             if (watch->kind() == segment.kind) {
-                watch->receive(segment);
+                has_more = watch->receive(segment) || has_more;
             }
         }
     }
+    return has_more;
 }
 
 } // namespace balsampost::entry
--- a/src/libbalsampost_entry/entry_updates.cpp
+++ b/src/libbalsampost_entry/entry_updates.cpp
@@ -160,14 +160,8 @@
         return;
     }
     view.reports.take(report, max_merged_keys);
-    peer_report out{m_settings.instance.name,
-                    std::move(report),
-                    view.tables.version(),
-                    known_revisions(),
-                    m_settings.instance.failure_domain,
-                    m_settings.resources.capacity_shortage(),
-                    subtree_size(name) - 1,
-                    now() < view.relay_avoided_until};
+    auto out = versions_report(name);
+    out.keys = std::move(report);
     m_peers.send(report_target(name, runner), out);
     if (!view.reporters.empty() && older_than(view.pushed_at, push_interval)) {
         push(name);
@@ -180,6 +174,33 @@
     }
 }
 
+peer_report entry::versions_report(const std::string& service) {
+    const auto& view = m_service_views[service];
+    peer_report out;
+    out.instance = m_settings.instance.name;
+    out.keys.service = service;
+    out.table = view.tables.version();
+    out.revisions = known_revisions();
+    out.failure_domain = m_settings.instance.failure_domain;
+    out.capacity_shortage = m_settings.resources.capacity_shortage();
+    out.members = subtree_size(service) - 1;
+    out.lost_relay = now() < view.relay_avoided_until;
+    return out;
+}
+
+void entry::request_update(const std::string& service) {
+    const auto runner = m_key_services.find(service);
+    auto& view = m_service_views[service];
+    if (view.update_requested || m_stopping || runner == m_key_services.end() || runner->second->leads()) {
+        return;
+    }
+    view.update_requested = true;
+    m_timers.at(now() + push_delay, [this, service, runner = runner->second] {
+        m_service_views[service].update_requested = false;
+        m_peers.send(report_target(service, *runner), versions_report(service));
+    });
+}
+
 void entry::report_loads() {
     if (m_stopping) {
         return;
@@ -316,7 +337,9 @@
         }
         return;
     }
-    apply_feed(update.feed);
+    if (apply_feed(update.feed)) {
+        request_update(update.service);
+    }
     const bool from_relay = !update.coordinator_at.empty();
     if (from_relay && from == view.relay) {
         view.relay_updated_at = now();
--- a/src/libbalsampost_entry/kind_watch.cpp
+++ b/src/libbalsampost_entry/kind_watch.cpp
@@ -69,8 +69,8 @@
         return;
     }
     succeeded();
+    log_list(*answer);
     m_revision = answer->revision;
-    m_log.reset(m_revision);
     if (!std::exchange(m_listed, true)) {
         m_recovered_at = m_store_answered_at; // An outage may have ended just before the first list.
     }
@@ -79,6 +79,31 @@
     watch_or_pause();
 }
 
+void kind_watch::log_list(const object_list& list) {
+    std::vector<object_change> changes;
+    std::map<std::string, std::uint64_t> objects;
+    for (const auto& o : list.objects) {
+        objects.emplace(o.name, o.revision);
+        const auto known = m_objects.find(o.name);
+        if (known == m_objects.end() || known->second != o.revision) {
+            changes.push_back({o, false});
+        }
+    }
+    for (const auto& [name, revision] : m_objects) {
+        if (!objects.contains(name)) {
+            changes.push_back({{name, list.revision, ""}, true});
+        }
+    }
+    m_objects = std::move(objects);
+    if (!m_listed) {
+        m_log.reset(list.revision);
+        return;
+    }
+    std::sort(changes.begin(), changes.end(),
+              [](const auto& a, const auto& b) { return a.object.revision < b.object.revision; });
+    m_log.append(changes, list.revision);
+}
+
 void kind_watch::watch() {
     ++m_watch_calls;
     const auto wait = m_outage_since != core::never    ? outage_wait
@@ -119,6 +144,11 @@
     m_log.append(changes, revision);
     m_revision = revision;
     for (const auto& change : changes) {
+        if (change.removed) {
+            m_objects.erase(change.object.name);
+        } else {
+            m_objects[change.object.name] = change.object.revision;
+        }
         m_handlers.changed(change);
     }
     if (!changes.empty()) {
@@ -189,27 +219,30 @@
     return segment;
 }
 
-void kind_watch::receive(const feed_segment& segment) {
+bool kind_watch::receive(const feed_segment& segment) {
     m_last_peer_update = now();
     const auto until = now() + m_max_age - core::milliseconds{segment.age_ms};
     if (!m_listed || m_role == watch_role::publisher || !can_apply(segment, m_revision) || until <= now()) {
-        return;
+        return false;
     }
-    m_peer_fresh_until = std::max(m_peer_fresh_until, until);
-    const auto known_as_of = until - m_max_age;
-    if (m_known_as_of == core::never || known_as_of > m_known_as_of) {
-        m_known_as_of = known_as_of;
-        m_peer_grace_until = now() + core::milliseconds{segment.grace_ms};
+    if (!segment.has_more()) { // Otherwise the data is only as recent as it was.
+        m_peer_fresh_until = std::max(m_peer_fresh_until, until);
+        const auto known_as_of = until - m_max_age;
+        if (m_known_as_of == core::never || known_as_of > m_known_as_of) {
+            m_known_as_of = known_as_of;
+            m_peer_grace_until = now() + core::milliseconds{segment.grace_ms};
+        }
     }
     m_handlers.grace_received(core::milliseconds{segment.grace_ms});
     if (segment.to == m_revision) {
-        return;
+        return segment.has_more();
     }
     std::vector<object_change> changes;
     for (const auto& c : segment.changes) {
         changes.push_back({{c.name, c.revision, c.value}, c.removed});
     }
     apply(changes, segment.to);
+    return segment.has_more();
 }
 
 // Failures of the store
--- a/src/libbalsampost_telemetry/line_writer_test.cpp
+++ b/src/libbalsampost_telemetry/line_writer_test.cpp
@@ -77,8 +77,9 @@
             bool blocking;
             std::size_t line_bytes;
         };
-        constexpr row rows[] = {
-            {"blocking", true, 250}, {"non-blocking", false, 250}, {"lines longer than a piece", false, 9'000}};
+        constexpr row rows[] = {{"blocking", true, 250},
+                                {"non-blocking", false, 250},
+                                {"lines longer than a piece", false, 9'000}};
         for (const auto& r : rows) {
             std::string lines;
             for (std::size_t i = 0; lines.size() < (1U << 20U); ++i) {
--- a/src/libbalsampost_telemetry/log.cpp
+++ b/src/libbalsampost_telemetry/log.cpp
@@ -46,7 +46,8 @@
 // traffic.
 constexpr std::size_t max_buffered_bytes = 512U << 10U;
 constexpr std::chrono::milliseconds write_interval{200}; // Groups many lines into one write.
-// Standard output that takes nothing for this long loses the lines of the batch; it also bounds the last write.
+// Standard output that takes nothing for this long loses the lines of the batch; it also bounds the last
+// write.
 constexpr std::chrono::milliseconds output_stall_timeout{500};
 
 /// Buffers lines without blocking the caller; a background thread writes them to standard output.
