--- a/src/libbalsampost_core/key_coordinator.cpp
+++ b/src/libbalsampost_core/key_coordinator.cpp
@@ -184,7 +184,8 @@
             continue;
         }
         const double ms = m_service_times.service_ms(id.id, default_service_ms);
-        out.push_back({id, std::max<std::uint32_t>(b.slots, 1) * 1000.0 / ms, !m_unreachable.contains(id)});
+        const auto slots = std::max<std::uint32_t>(b.slots, 1);
+        out.push_back({id, slots * 1000.0 / ms, !m_unreachable.contains(id), slots});
     }
     return out;
 }
--- a/src/libbalsampost_core/key_plan.cpp
+++ b/src/libbalsampost_core/key_plan.cpp
@@ -10,8 +10,9 @@
 
 namespace {
 
-// Load of a key without measured requests in requests per second, so that keys count before there is traffic.
-constexpr double unmeasured_key_rate = 0.002;
+// Load of a key without measured requests in requests per second, so that keys count before there is traffic:
+// all keys together count as one request per second.
+constexpr double unmeasured_key_rate = 1.0 / key_count;
 
 double estimated_load(const key_rates& rates, shard_key from, shard_key to) {
     return rates.rate(from, to) + unmeasured_key_rate * (to - from + 1);
@@ -21,8 +22,11 @@
     const key_server* server = nullptr;
     double load = 0;
     shard_key keys = 0;
+    double target = 0; // Load that the server should have; see `distribute_load`.
 
     double utilization() const { return load / server->capacity; }
+    double marginal_s() const { return marginal_response_s(server->speed(), load); }
+    double free() const { return target - load; }
 };
 
 using load_map = std::map<incarnation, server_load>;
@@ -31,7 +35,7 @@
                       const key_rates& rates) {
     load_map out;
     for (const auto& s : servers) {
-        out[s.identity] = {&s, 0, 0};
+        out[s.identity] = {&s, 0, 0, 0};
     }
     for (const auto& range : table.ranges) {
         const auto found = out.find(range.owner);
@@ -67,6 +71,33 @@
     return capacity <= 0 ? 0 : load / capacity;
 }
 
+/// Sets the targets of all servers and returns the marginal response time up to which they are loaded.
+double set_targets(load_map& loads) {
+    std::vector<server_speed> speeds;
+    double total = 0;
+    for (const auto& [id, s] : loads) {
+        speeds.push_back(s.server->speed());
+        total += s.load;
+    }
+    const auto targets = distribute_load(speeds, total);
+    std::size_t i = 0;
+    for (auto& [id, s] : loads) {
+        s.target = targets.loads[i++];
+    }
+    return targets.level_s;
+}
+
+/// The reachable server whose load is farthest below its target; null if there is none besides `except`.
+server_load* most_free(load_map& loads, const incarnation& except) {
+    server_load* best = nullptr;
+    for (auto& [id, s] : loads) {
+        if (id != except && s.server->reachable && (best == nullptr || s.free() > best->free())) {
+            best = &s;
+        }
+    }
+    return best;
+}
+
 /// Last key of the longest range that starts at `from`, ends at `to` or before, and carries at most `load`.
 /// The range has at least one key, even if that key carries more.
 shard_key last_key_within(const key_rates& rates, shard_key from, shard_key to, double load) {
@@ -220,16 +251,16 @@
                                        const key_rates& rates, const plan_settings& settings) {
     std::vector<key_move> moves;
     auto loads = server_loads(table, servers, rates);
-    const double mean = mean_utilization(loads);
+    set_targets(loads);
     const double fair_key_count =
         static_cast<double>(key_count) / static_cast<double>(std::max<std::size_t>(servers.size(), 1));
     std::map<shard_key, bool> split_ranges; // Ranges already used as a source, by first key.
     for (auto& [id, new_server] : loads) {
         if (!new_server.server->reachable || new_server.keys >= settings.underfilled_share * fair_key_count ||
-            new_server.load >= settings.underfilled_share * mean * new_server.server->capacity) {
+            new_server.load >= settings.underfilled_share * new_server.target) {
             continue;
         }
-        double missing_load = mean * new_server.server->capacity - new_server.load;
+        double missing_load = new_server.free();
         for (int attempt = 0;
              attempt < 3 && missing_load > 0 && moves.size() < settings.max_moves(servers.size());
              ++attempt) {
@@ -241,8 +272,8 @@
                     range.owner == id) {
                     continue;
                 }
-                if (owner->second.utilization() > highest) {
-                    highest = owner->second.utilization();
+                if (owner->second.marginal_s() > highest) {
+                    highest = owner->second.marginal_s();
                     source = &range;
                 }
             }
@@ -252,8 +283,7 @@
             auto& owner = loads.at(source->owner);
             const double range_load = estimated_load(rates, source->from, source->to);
             const double target_load =
-                std::min({missing_load, range_load / 2,
-                          std::max(missing_load / 3, owner.load - mean * owner.server->capacity)});
+                std::min({missing_load, range_load / 2, std::max(missing_load / 3, -owner.free())});
             const auto to =
                 std::min(source->to - 1, last_key_within(rates, source->from, source->to, target_load));
             const double moved_load = estimated_load(rates, source->from, to);
@@ -274,18 +304,26 @@
         return moves;
     }
     auto loads = server_loads(table, servers, rates);
-    const double mean = mean_utilization(loads);
-    const double hot = std::max(settings.hot_to_mean_ratio * mean, settings.min_hot_utilization);
-    const auto base_max_ranges =
+    const double level_s = set_targets(loads);
+    const auto max_ranges =
         std::max(settings.base_max_ranges, settings.max_ranges_per_server * servers.size());
-    for (auto& [id, owner] : loads) {
-        if (owner.utilization() <= hot || table.ranges.size() + moves.size() >= base_max_ranges) {
-            continue;
+    std::vector<std::pair<double, incarnation>> overloaded; // Marginal response time and server.
+    for (const auto& [id, s] : loads) {
+        if (s.load > settings.max_load_to_target * s.target &&
+            s.marginal_s() > settings.max_response_ratio * level_s) {
+            overloaded.emplace_back(s.marginal_s(), id);
+        }
+    }
+    std::sort(overloaded.rbegin(), overloaded.rend());
+    for (const auto& [response_s, id] : overloaded) {
+        auto& owner = loads.at(id);
+        if (table.ranges.size() + moves.size() >= max_ranges) {
+            break;
         }
         // Ranges with the most load per key first: moving them relieves the owner with the fewest keys.
         std::vector<const key_range*> ranges;
         for (const auto& range : table.ranges) {
-            if (range.owner == id && !range.moving()) {
+            if (range.owner == owner.server->identity && !range.moving()) {
                 ranges.push_back(&range);
             }
         }
@@ -295,29 +333,30 @@
         for (const auto* range : ranges) {
             const auto [from, to] = hot_subrange(*range, rates);
             for (auto at = from; at <= to && moves.size() < settings.max_moves(servers.size());) {
-                const double excess = owner.load - mean * owner.server->capacity;
+                const double excess = -owner.free();
                 if (excess <= 0) {
                     break;
                 }
                 // A key that needs a large fraction of a server's capacity moves alone, to the server with
-                // the lowest utilization after the move. Other keys move in parts that fit the least loaded
-                // server.
+                // the lowest utilization after the move. Other keys move in parts that fit the server whose
+                // load is farthest below its target.
                 const double key_load = estimated_load(rates, at, at);
                 const bool is_large = key_load > settings.large_key_fraction * owner.server->capacity;
-                auto* target = least_loaded_after_taking(loads, is_large ? key_load : 0, id);
+                auto* target =
+                    is_large ? least_loaded_after_taking(loads, key_load, id) : most_free(loads, id);
                 if (target == nullptr) {
                     return moves;
                 }
-                const double free_capacity = mean * target->server->capacity - target->load;
-                const auto end =
-                    is_large ? at
-                             : last_key_within(rates, at, to, std::min(std::max(free_capacity, 0.0), excess));
+                const auto end = is_large ? at
+                                          : last_key_within(rates, at, to,
+                                                            std::min(std::max(target->free(), 0.0), excess));
                 const double moved = estimated_load(rates, at, end);
                 const double utilization_after = (target->load + moved) / target->server->capacity;
+                const bool target_full =
+                    !is_large && target->free() <= settings.min_free_fraction * target->target;
                 const bool gain_too_small =
-                    utilization_after > settings.max_utilization_ratio * owner.utilization();
-                const bool target_full = !is_large && free_capacity <= settings.min_free_fraction * mean *
-                                                                           target->server->capacity;
+                    is_large ? utilization_after > settings.max_utilization_ratio * owner.utilization()
+                             : moved > 2 * target->free(); // A single key, since more are cut to fit.
                 if (gain_too_small || target_full) {
                     at = end + 1; // This part stays; the keys after it may still move.
                     if (target_full) {
