--- /dev/null
+++ b/src/include/balsampost/core/admission.h
@@ -0,0 +1,21 @@
+// Admission to the owners of overloaded keys: which part of the requests is sent, so that the owner answers
+// those in time, and the others are refused at once. The load that it answers: one or a few keys get more
+// requests than a server can run, while the owner also holds other keys, whose callers must not pay for it.
+#pragma once
+
+#include "balsampost/core/key_plan.h"
+
+#include <map>
+
+namespace balsampost::core {
+
+/// Returns the fraction of the requests to admit for each server whose load exceeds its capacity by far.
+std::map<incarnation, double>
+admitted_fractions(const key_table& table, const std::vector<key_server>& servers, const key_rates& rates);
+
+/// Returns when a caller that was not admitted may come back. The smaller the admitted fraction, the longer
+/// the overload lasts and the more callers return in vain; but a caller with `time_left` until its deadline
+/// gets two more chances.
+milliseconds overload_retry_after(double admitted_fraction, milliseconds time_left);
+
+} // namespace balsampost::core
--- a/src/include/balsampost/core/key_coordinator.h
+++ b/src/include/balsampost/core/key_coordinator.h
@@ -18,6 +18,7 @@
 //     listener while its last requests still run.
 #pragma once
 
+#include "balsampost/core/admission.h"
 #include "balsampost/core/key_plan.h"
 
 #include <algorithm>
--- a/src/include/balsampost/core/key_plan.h
+++ b/src/include/balsampost/core/key_plan.h
@@ -5,7 +5,6 @@
 
 #include "balsampost/core/key_load.h"
 #include "balsampost/core/key_table.h"
-#include "balsampost/core/response_time.h"
 
 #include <algorithm>
 #include <map>
@@ -16,29 +15,23 @@
 /// A server that may own keys.
 struct key_server {
     incarnation identity;
-    double capacity = 1;     ///< Requests per second: slots divided by the time of one request.
-    bool reachable = true;   ///< Unless reachable, the server keeps its keys but gets no others.
-    std::uint32_t slots = 1; ///< Requests that the server runs at once.
-
-    server_speed speed() const { return {slots, capacity}; }
+    double capacity = 1;   ///< Requests per second: slots divided by the time of one request.
+    bool reachable = true; ///< Unless reachable, the server keeps its keys but gets no others.
 };
 
 struct plan_settings {
-    /// A server is relieved when its load exceeds its target by this factor ...
-    double max_load_to_target = 1.35;
-    /// ... and by this many standard deviations of the measured rate ...
-    double min_deviations = 1;
-    /// ... and its marginal response time exceeds that of the other servers by this factor.
-    double max_response_ratio = 1.5;
-    /// A server gets more keys if its share of the keys is below this fraction of an equal share, and its
-    /// load below this fraction of its target.
+    /// A server is relieved when its utilization exceeds the mean utilization by this factor ...
+    double hot_to_mean_ratio = 1.35;
+    /// ... and is at least this. Below this utilization its queue is short in any case.
+    double min_hot_utilization = 0.6;
+    /// A server gets more keys if its share of keys and of load is below this fraction of a fair share.
     double underfilled_share = 0.25;
     /// A key that needs this fraction of its owner's capacity is moved by itself.
     double large_key_fraction = 0.15;
-    /// After the move of a large key, the receiver's utilization may be at most this fraction of the owner's
-    /// utilization before it.
+    /// After a move, the target's utilization may be at most this fraction of the owner's utilization before
+    /// it.
     double max_utilization_ratio = 0.85;
-    /// A receiver whose load is below its target by less than this fraction is not used.
+    /// A target with less free capacity than this fraction of its fair load is not used.
     double min_free_fraction = 0.05;
     /// Maximum moves per batch for small deployments; each move is an order to two servers.
     std::size_t base_max_moves = 24;
@@ -69,10 +62,6 @@
 load_summary summarize(const key_table& table, const std::vector<key_server>& servers,
                        const key_rates& rates);
 
-/// Servers whose load exceeds their capacity by far, with the fraction of their requests to admit.
-std::map<incarnation, double>
-overloaded_servers(const key_table& table, const std::vector<key_server>& servers, const key_rates& rates);
-
 /// Initial assignment: one range per server, sized by capacity.
 std::vector<key_move> initial_owners(const std::vector<key_server>& servers);
 
@@ -85,8 +74,7 @@
 std::vector<key_move> fill_new_servers(const key_table& table, const std::vector<key_server>& servers,
                                        const key_rates& rates, const plan_settings& settings);
 
-/// Moves the hottest ranges away from servers that are loaded well above the target that `distribute_load`
-/// sets for their speed.
+/// Moves the hottest ranges away from servers that are loaded well above the mean.
 std::vector<key_move> spread_hot_ranges(const key_table& table, const std::vector<key_server>& servers,
                                         const key_rates& rates, const plan_settings& settings);
 
--- /dev/null
+++ b/src/libbalsampost_core/admission.cpp
@@ -0,0 +1,47 @@
+// Admitted fractions of overloaded servers, and the return of refused callers.
+#include "balsampost/core/admission.h"
+
+#include <algorithm>
+
+namespace balsampost::core {
+
+namespace {
+
+// Below this utilization the queue of the server absorbs the excess.
+constexpr double overload_threshold = 1.5;
+// Slightly more than the capacity is admitted: arrivals are uneven, and the queue of the server must not run
+// empty in between.
+constexpr double admitted_utilization = 1.3;
+// Return after a refusal if nearly all requests are admitted; about the interval at which the load is
+// checked.
+constexpr milliseconds min_overload_retry_after{350};
+/// Number of attempts for which the time left to a refused caller suffices.
+constexpr int remaining_attempts = 3;
+
+} // namespace
+
+std::map<incarnation, double>
+admitted_fractions(const key_table& table, const std::vector<key_server>& servers, const key_rates& rates) {
+    std::map<incarnation, double> loads;
+    for (const auto& range : table.ranges) {
+        loads[range.owner] += rates.rate(range.from, range.to);
+    }
+    std::map<incarnation, double> out;
+    for (const auto& s : servers) {
+        const auto found = loads.find(s.identity);
+        const double load = found == loads.end() ? 0 : found->second;
+        if (load > overload_threshold * s.capacity) {
+            out[s.identity] = admitted_utilization * s.capacity / load;
+        }
+    }
+    return out;
+}
+
+milliseconds overload_retry_after(double admitted_fraction, milliseconds time_left) {
+    const auto latest = std::max(time_left / remaining_attempts, min_overload_retry_after);
+    const double wanted =
+        static_cast<double>(min_overload_retry_after.count()) / std::max(admitted_fraction, 0.01);
+    return std::clamp(milliseconds{static_cast<std::int64_t>(wanted)}, min_overload_retry_after, latest);
+}
+
+} // namespace balsampost::core
--- a/src/libbalsampost_core/key_coordinator.cpp
+++ b/src/libbalsampost_core/key_coordinator.cpp
@@ -185,7 +185,7 @@
         }
         const double ms = m_service_times.service_ms(id.id, default_service_ms);
         const auto slots = std::max<std::uint32_t>(b.slots, 1);
-        out.push_back({id, slots * 1000.0 / ms, !m_unreachable.contains(id), slots});
+        out.push_back({id, slots * 1000.0 / ms, !m_unreachable.contains(id)});
     }
     return out;
 }
@@ -398,7 +398,7 @@
     m_rebalance_at = now + m_settings.rebalance_interval;
     schedule_step(m_rebalance_at);
     m_rates.advance(now);
-    m_admitted_fractions = overloaded_servers(m_effective_table, servers, m_rates);
+    m_admitted_fractions = core::admitted_fractions(m_effective_table, servers, m_rates);
     const bool moving = std::any_of(m_effective_table.ranges.begin(), m_effective_table.ranges.end(),
                                     [](const key_range& r) { return r.moving(); });
     if (moving || m_store_degraded) {
--- a/src/libbalsampost_core/key_plan.cpp
+++ b/src/libbalsampost_core/key_plan.cpp
@@ -10,12 +10,8 @@
 
 namespace {
 
-// Load of a key without measured requests in requests per second, so that keys count before there is traffic:
-// all keys together count as one request per second.
-constexpr double unmeasured_key_rate = 1.0 / key_count;
-
-// A rate of r requests per second is measured with a standard deviation of the root of r divided by this.
-constexpr double rate_samples_per_request = 4;
+// Load of a key without measured requests in requests per second, so that keys count before there is traffic.
+constexpr double unmeasured_key_rate = 0.002;
 
 double estimated_load(const key_rates& rates, shard_key from, shard_key to) {
     return rates.rate(from, to) + unmeasured_key_rate * (to - from + 1);
@@ -25,11 +21,8 @@
     const key_server* server = nullptr;
     double load = 0;
     shard_key keys = 0;
-    double target = 0; // Load that the server should have; see `distribute_load`.
 
     double utilization() const { return load / server->capacity; }
-    double marginal_s() const { return marginal_response_s(server->speed(), load); }
-    double free() const { return target - load; }
 };
 
 using load_map = std::map<incarnation, server_load>;
@@ -38,7 +31,7 @@
                       const key_rates& rates) {
     load_map out;
     for (const auto& s : servers) {
-        out[s.identity] = {&s, 0, 0, 0};
+        out[s.identity] = {&s, 0, 0};
     }
     for (const auto& range : table.ranges) {
         const auto found = out.find(range.owner);
@@ -74,33 +67,6 @@
     return capacity <= 0 ? 0 : load / capacity;
 }
 
-/// Sets the targets of all servers and returns the marginal response time up to which they are loaded.
-double set_targets(load_map& loads) {
-    std::vector<server_speed> speeds;
-    double total = 0;
-    for (const auto& [id, s] : loads) {
-        speeds.push_back(s.server->speed());
-        total += s.load;
-    }
-    const auto targets = distribute_load(speeds, total);
-    std::size_t i = 0;
-    for (auto& [id, s] : loads) {
-        s.target = targets.loads[i++];
-    }
-    return targets.level_s;
-}
-
-/// The reachable server whose load is farthest below its target; null if there is none besides `except`.
-server_load* most_free(load_map& loads, const incarnation& except) {
-    server_load* best = nullptr;
-    for (auto& [id, s] : loads) {
-        if (id != except && s.server->reachable && (best == nullptr || s.free() > best->free())) {
-            best = &s;
-        }
-    }
-    return best;
-}
-
 /// Last key of the longest range that starts at `from`, ends at `to` or before, and carries at most `load`.
 /// The range has at least one key, even if that key carries more.
 shard_key last_key_within(const key_rates& rates, shard_key from, shard_key to, double load) {
@@ -172,22 +138,6 @@
     return out;
 }
 
-std::map<incarnation, double>
-overloaded_servers(const key_table& table, const std::vector<key_server>& servers, const key_rates& rates) {
-    // Below this utilization the queue of the server absorbs the excess.
-    constexpr double overload_threshold = 1.5;
-    // Slightly more than the capacity is admitted: arrivals are uneven, and the queue of the server must not
-    // run empty in between.
-    constexpr double admitted_utilization = 1.3;
-    std::map<incarnation, double> out;
-    for (const auto& [id, s] : server_loads(table, servers, rates)) {
-        if (s.utilization() > overload_threshold) {
-            out[id] = std::min(1.0, admitted_utilization / s.utilization());
-        }
-    }
-    return out;
-}
-
 std::vector<key_move> initial_owners(const std::vector<key_server>& servers) {
     std::vector<key_move> moves;
     double total = 0;
@@ -254,16 +204,16 @@
                                        const key_rates& rates, const plan_settings& settings) {
     std::vector<key_move> moves;
     auto loads = server_loads(table, servers, rates);
-    set_targets(loads);
+    const double mean = mean_utilization(loads);
     const double fair_key_count =
         static_cast<double>(key_count) / static_cast<double>(std::max<std::size_t>(servers.size(), 1));
     std::map<shard_key, bool> split_ranges; // Ranges already used as a source, by first key.
     for (auto& [id, new_server] : loads) {
         if (!new_server.server->reachable || new_server.keys >= settings.underfilled_share * fair_key_count ||
-            new_server.load >= settings.underfilled_share * new_server.target) {
+            new_server.load >= settings.underfilled_share * mean * new_server.server->capacity) {
             continue;
         }
-        double missing_load = new_server.free();
+        double missing_load = mean * new_server.server->capacity - new_server.load;
         for (int attempt = 0;
              attempt < 3 && missing_load > 0 && moves.size() < settings.max_moves(servers.size());
              ++attempt) {
@@ -275,8 +225,8 @@
                     range.owner == id) {
                     continue;
                 }
-                if (owner->second.marginal_s() > highest) {
-                    highest = owner->second.marginal_s();
+                if (owner->second.utilization() > highest) {
+                    highest = owner->second.utilization();
                     source = &range;
                 }
             }
@@ -286,7 +236,8 @@
             auto& owner = loads.at(source->owner);
             const double range_load = estimated_load(rates, source->from, source->to);
             const double target_load =
-                std::min({missing_load, range_load / 2, std::max(missing_load / 3, -owner.free())});
+                std::min({missing_load, range_load / 2,
+                          std::max(missing_load / 3, owner.load - mean * owner.server->capacity)});
             const auto to =
                 std::min(source->to - 1, last_key_within(rates, source->from, source->to, target_load));
             const double moved_load = estimated_load(rates, source->from, to);
@@ -307,27 +258,18 @@
         return moves;
     }
     auto loads = server_loads(table, servers, rates);
-    const double level_s = set_targets(loads);
-    const auto max_ranges =
+    const double mean = mean_utilization(loads);
+    const double hot = std::max(settings.hot_to_mean_ratio * mean, settings.min_hot_utilization);
+    const auto base_max_ranges =
         std::max(settings.base_max_ranges, settings.max_ranges_per_server * servers.size());
-    std::vector<std::pair<double, incarnation>> overloaded; // Marginal response time and server.
-    for (const auto& [id, s] : loads) {
-        const double noise = settings.min_deviations * std::sqrt(s.load / rate_samples_per_request);
-        if (s.load > settings.max_load_to_target * s.target + noise &&
-            s.marginal_s() > settings.max_response_ratio * level_s) {
-            overloaded.emplace_back(s.marginal_s(), id);
-        }
-    }
-    std::sort(overloaded.rbegin(), overloaded.rend());
-    for (const auto& [response_s, id] : overloaded) {
-        auto& owner = loads.at(id);
-        if (table.ranges.size() + moves.size() >= max_ranges) {
-            break;
+    for (auto& [id, owner] : loads) {
+        if (owner.utilization() <= hot || table.ranges.size() + moves.size() >= base_max_ranges) {
+            continue;
         }
         // Ranges with the most load per key first: moving them relieves the owner with the fewest keys.
         std::vector<const key_range*> ranges;
         for (const auto& range : table.ranges) {
-            if (range.owner == owner.server->identity && !range.moving()) {
+            if (range.owner == id && !range.moving()) {
                 ranges.push_back(&range);
             }
         }
@@ -337,30 +279,29 @@
         for (const auto* range : ranges) {
             const auto [from, to] = hot_subrange(*range, rates);
             for (auto at = from; at <= to && moves.size() < settings.max_moves(servers.size());) {
-                const double excess = -owner.free();
+                const double excess = owner.load - mean * owner.server->capacity;
                 if (excess <= 0) {
                     break;
                 }
                 // A key that needs a large fraction of a server's capacity moves alone, to the server with
-                // the lowest utilization after the move. Other keys move in parts that fit the server whose
-                // load is farthest below its target.
+                // the lowest utilization after the move. Other keys move in parts that fit the least loaded
+                // server.
                 const double key_load = estimated_load(rates, at, at);
                 const bool is_large = key_load > settings.large_key_fraction * owner.server->capacity;
-                auto* target =
-                    is_large ? least_loaded_after_taking(loads, key_load, id) : most_free(loads, id);
+                auto* target = least_loaded_after_taking(loads, is_large ? key_load : 0, id);
                 if (target == nullptr) {
                     return moves;
                 }
-                const auto end = is_large ? at
-                                          : last_key_within(rates, at, to,
-                                                            std::min(std::max(target->free(), 0.0), excess));
+                const double free_capacity = mean * target->server->capacity - target->load;
+                const auto end =
+                    is_large ? at
+                             : last_key_within(rates, at, to, std::min(std::max(free_capacity, 0.0), excess));
                 const double moved = estimated_load(rates, at, end);
                 const double utilization_after = (target->load + moved) / target->server->capacity;
-                const bool target_full =
-                    !is_large && target->free() <= settings.min_free_fraction * target->target;
                 const bool gain_too_small =
-                    is_large ? utilization_after > settings.max_utilization_ratio * owner.utilization()
-                             : moved > 2 * target->free(); // A single key, since more are cut to fit.
+                    utilization_after > settings.max_utilization_ratio * owner.utilization();
+                const bool target_full = !is_large && free_capacity <= settings.min_free_fraction * mean *
+                                                                           target->server->capacity;
                 if (gain_too_small || target_full) {
                     at = end + 1; // This part stays; the keys after it may still move.
                     if (target_full) {
--- a/src/libbalsampost_entry/forwarding.cpp
+++ b/src/libbalsampost_entry/forwarding.cpp
@@ -1,6 +1,7 @@
 // Attempts of one request, and the retry, wait, refusal or answer that follows each outcome.
 #include "balsampost/entry/forwarding.h"
 
+#include "balsampost/core/admission.h"
 #include "balsampost/entry/entry_metrics.h"
 #include "balsampost/net/http_rules.h"
 #include "balsampost/telemetry/log.h"
@@ -30,9 +31,7 @@
 // How long a request waits for its key to get an owner; a move takes a few round trips.
 constexpr core::milliseconds max_owner_wait{400};
 constexpr core::milliseconds owner_retry_after{250}; // Duration of a move by release.
-constexpr core::milliseconds overload_retry_after{
-    350}; // About the interval at which the coordinator checks the load.
-constexpr std::uint32_t max_unreached_servers = 3; // Unreachable servers tried per request.
+constexpr std::uint32_t max_unreached_servers = 3;   // Unreachable servers tried per request.
 // A non-idempotent exchange is not aborted: it may stay open this long after the request's deadline.
 constexpr core::milliseconds orphaned_exchange_time{500};
 constexpr core::milliseconds min_time_left{10}; // With less time left a server cannot finish a request.
@@ -150,7 +149,9 @@
         if (fraction < 1 &&
             std::uniform_real_distribution<double>(0, 1)(m_context.state.random()) > fraction) {
             m_server = run->owner.id;
-            refuse("the owner of the key is overloaded", overload_retry_after);
+            refuse("the owner of the key is overloaded",
+                   core::overload_retry_after(
+                       fraction, std::chrono::duration_cast<core::milliseconds>(m_deadline - at)));
             return;
         }
         choice = service->pool.check(run->owner.id, selection(at), at);
