--- a/src/include/balsampost/core/admission.h
+++ b/src/include/balsampost/core/admission.h
@@ -1,6 +1,6 @@
 // Admission to the owners of overloaded keys: which part of the requests is sent, so that the owner answers
-// those in time, and the others are refused at once. The load that it answers: one or a few keys get more
-// requests than a server can run, while the owner also holds other keys, whose callers must not pay for it.
+// those in time, and when the others, which are refused at once, may return. It answers a load in which one
+// or a few keys get more requests than a server can run, so that no assignment of keys helps.
 #pragma once
 
 #include "balsampost/core/key_plan.h"
@@ -9,7 +9,8 @@
 
 namespace balsampost::core {
 
-/// Returns the fraction of the requests to admit for each server whose load exceeds its capacity by far.
+/// Returns the fraction of the requests to admit for each server whose measured load exceeds its capacity by
+/// far. Other servers are not listed.
 std::map<incarnation, double>
 admitted_fractions(const key_table& table, const std::vector<key_server>& servers, const key_rates& rates);
 
--- a/src/include/balsampost/core/key_load.h
+++ b/src/include/balsampost/core/key_load.h
@@ -80,7 +80,7 @@
 
 /// Request rate per key in requests per second. Each key has two exponentially decaying averages: one with a
 /// long time constant, which smooths noise, and one with a short time constant, which is used for a key or
-/// group as soon as a burst begins or ends. Rates are kept per key, so the load of one key is not attributed
+/// group as soon as it shows a burst. Rates are kept per key, so the load of one key is not attributed
 /// to its neighbours.
 class key_rates {
 public:
--- a/src/include/balsampost/entry/entry.h
+++ b/src/include/balsampost/entry/entry.h
@@ -54,6 +54,7 @@
     void report_load(const std::string& name, key_service& runner);
     /// Reports this instance's versions without any load, to get the changes that did not fit into an update.
     void request_update(const std::string& service);
+    /// Returns a report of this instance's versions and place in the tree, without any load.
     peer_report versions_report(const std::string& service);
     void read_table(const std::string& service);
     /// Address to which this instance reports: its relay or the coordinator.
--- a/src/libbalsampost_core/admission.cpp
+++ b/src/libbalsampost_core/admission.cpp
@@ -12,11 +12,14 @@
 // Slightly more than the capacity is admitted: arrivals are uneven, and the queue of the server must not run
 // empty in between.
 constexpr double admitted_utilization = 1.3;
-// Return after a refusal if nearly all requests are admitted; about the interval at which the load is
-// checked.
+// Return of a refused caller under a slight overload; about the interval at which the load is checked.
 constexpr milliseconds min_overload_retry_after{350};
-/// Number of attempts for which the time left to a refused caller suffices.
-constexpr int remaining_attempts = 3;
+// A caller that has this many times the shortest return left until its target can return and still be in
+// target.
+constexpr int returns_until_target = 2;
+// The return leaves time for this many attempts until the deadline, the refused one included.
+constexpr int attempts_until_deadline = 3;
+constexpr double min_admitted_fraction = 0.01;
 
 } // namespace
 
@@ -39,13 +42,13 @@
 
 milliseconds overload_retry_after(double admitted_fraction, milliseconds time_to_target,
                                   milliseconds time_to_deadline) {
-    if (time_to_target > 2 * min_overload_retry_after) {
+    if (time_to_target > returns_until_target * min_overload_retry_after) {
         return min_overload_retry_after;
     }
-    const auto latest = std::max(time_to_deadline / remaining_attempts, min_overload_retry_after);
-    const double wanted =
-        static_cast<double>(min_overload_retry_after.count()) / std::max(admitted_fraction, 0.01);
-    return std::clamp(milliseconds{static_cast<std::int64_t>(wanted)}, min_overload_retry_after, latest);
+    const auto latest = std::max(time_to_deadline / attempts_until_deadline, min_overload_retry_after);
+    const auto by_overload = std::chrono::duration_cast<milliseconds>(
+        min_overload_retry_after / std::max(admitted_fraction, min_admitted_fraction));
+    return std::min(by_overload, latest);
 }
 
 } // namespace balsampost::core
--- a/src/libbalsampost_core/key_load.cpp
+++ b/src/libbalsampost_core/key_load.cpp
@@ -8,9 +8,8 @@
 
 namespace {
 
-// The short-term rate of a key or group is used if it differs from the long-term rate by this factor and by
-// this many requests per second, far more than random variation of an idle key: a burst has begun, or it has
-// ended.
+// The short-term rate of a key or group is used if it exceeds the long-term rate by this factor and by this
+// many requests per second, far more than random variation of an idle key.
 constexpr double burst_ratio = 2;
 constexpr double burst_excess_per_s = 8;
 constexpr double max_event_weight = 1e9; // The counts are rescaled above it.
@@ -127,11 +126,8 @@
     m_long_window.decay_until(now);
     m_short_window.decay_until(now);
     m_prefix_sums.resize(key_count + 1);
-    const auto differs = [](double low, double high) {
-        return high > burst_ratio * low && high > low + burst_excess_per_s;
-    };
-    const auto has_changed = [&](double short_rate, double long_rate) {
-        return differs(long_rate, short_rate);
+    const auto is_burst = [](double short_rate, double long_rate) {
+        return short_rate > burst_ratio * long_rate && short_rate > long_rate + burst_excess_per_s;
     };
     for (shard_key group = 0; group < key_count; group += keys_per_group) {
         double short_rate = 0;
@@ -140,9 +136,9 @@
             short_rate += m_short_window.rate(key);
             long_rate += m_long_window.rate(key);
         }
-        const bool changed = has_changed(short_rate, long_rate);
+        const bool hot = is_burst(short_rate, long_rate);
         for (shard_key key = group; key < group + keys_per_group; ++key) {
-            const bool use_short = changed || has_changed(m_short_window.rate(key), m_long_window.rate(key));
+            const bool use_short = hot || is_burst(m_short_window.rate(key), m_long_window.rate(key));
             m_prefix_sums[key + 1] =
                 m_prefix_sums[key] + (use_short ? m_short_window.rate(key) : m_long_window.rate(key));
         }
--- a/src/libbalsampost_entry/forwarding.cpp
+++ b/src/libbalsampost_entry/forwarding.cpp
@@ -145,16 +145,16 @@
             return;
         }
         m_last_fence = run->fence;
-        const auto limits = selection(at);
+        const auto request = selection(at);
         const double fraction = service->admitted_fraction(run->owner.id, at);
         if (fraction < 1 &&
             std::uniform_real_distribution<double>(0, 1)(m_context.state.random()) > fraction) {
             m_server = run->owner.id;
             refuse("the owner of the key is overloaded",
-                   core::overload_retry_after(fraction, limits.time_to_target, limits.time_to_deadline));
+                   core::overload_retry_after(fraction, request.time_to_target, request.time_to_deadline));
             return;
         }
-        choice = service->pool.check(run->owner.id, limits, at);
+        choice = service->pool.check(run->owner.id, request, at);
     } else {
         choice = service->pool.choose(selection(at), at, m_context.state.random());
     }
