--- a/review/common/stand_ins.cpp
+++ b/review/common/stand_ins.cpp
@@ -523,9 +523,11 @@
         return std::none_of(m_running.begin(), m_running.end(),
                             [&](const auto& r) { return from <= r.second && r.second <= to; });
     });
-    const std::string handover = garbled_handover ? "5c0e\xff\xfe\xc3" : "5c0e7a21d94b36f8";
+    const bool garbled = garbled_handovers > 0 && garbled_handovers-- > 0;
+    const std::string handover = garbled ? "5c0e\xff\xfe\xc3" : "5c0e7a21d94b36f8";
     m_log.line("server " + id() + " answers the release of keys " + std::to_string(from) + "-" +
-               std::to_string(to) + (garbled_handover ? " with wrong bytes" : ""));
+               std::to_string(to) +
+               (garbled ? " with wrong bytes, after " + std::to_string(m_answers) + " good answers" : ""));
     return response("200 OK", "X-Balsampost-Handover: " + handover + "\r\n", "");
 }
 
@@ -592,8 +594,9 @@
             }
             answer = grant(request);
         } else if (request.target() == "/v1/release") {
-            if (extra_answer_before_release && !last_answer.empty()) {
-                m_log.line("server " + id() + " sends a second copy of its last answer");
+            if (!last_answer.empty() && extra_answers > 0 && extra_answers-- > 0) {
+                m_log.line("server " + id() + " sends a second copy of its last answer here, after " +
+                           std::to_string(m_answers) + " answers");
                 connection.send(last_answer);
             }
             answer = release(request);
@@ -603,6 +606,7 @@
         if (!connection.send(answer)) {
             return;
         }
+        ++m_answers;
         last_answer = answer;
     }
 }
@@ -852,6 +856,22 @@
     return m_answered[machine_name];
 }
 
+int warm_up(const machine& m, const std::string& host, const std::string& prefix, int requests) {
+    constexpr int key_step = 4'099; // Coprime to the number of keys.
+    int served = 0;
+    for (int i = 0; i < requests; ++i) {
+        caller_request request;
+        request.method = "POST";
+        request.path = prefix + "5";
+        request.host = host;
+        request.key = static_cast<int>(static_cast<std::uint32_t>(i * key_step) % key_count);
+        request.id = "warm-" + std::to_string(i);
+        message answer;
+        served += ask(m.front(), request, answer) && answer.status() == 200 ? 1 : 0;
+    }
+    return served;
+}
+
 // The operator
 
 void put_manifest(object_store& store, int version, const std::string& host,
--- a/review/common/stand_ins.h
+++ b/review/common/stand_ins.h
@@ -173,6 +173,8 @@
     bool holds(std::uint32_t key);
     bool has_run(const std::string& request);
     std::size_t runs_of(const std::string& request);
+    /// Answers that it has given.
+    int answers() const { return m_answers; }
     /// Work in progress on keys of the range whose hold has not run out.
     std::vector<key_work> work_on(std::uint32_t from, std::uint32_t to);
 
@@ -180,10 +182,11 @@
     std::function<void(std::uint32_t, std::uint32_t, std::uint64_t)> on_grant;
     /// Called when a request begins: id.
     std::function<void(const std::string&)> on_request;
-    /// Fault: a second copy of the last answer is sent late, where the answer to a release is expected.
-    std::atomic<bool> extra_answer_before_release{false};
-    /// Fault: wrong bytes in the handover of a release.
-    std::atomic<bool> garbled_handover{false};
+    /// Fault: so many times, a second copy of the last answer is sent late, where the answer to a release is
+    /// expected.
+    std::atomic<int> extra_answers{0};
+    /// Fault: so many handovers, the answers to releases, have wrong bytes.
+    std::atomic<int> garbled_handovers{0};
     /// Fault: bytes without end, until the caller closes, in place of the answer to a grant.
     std::atomic<bool> endless_grant_answers{false};
 
@@ -210,6 +213,7 @@
     std::vector<clock::time_point> m_would_hold_until;
     std::map<std::string, std::uint32_t> m_running; // Key of each running request, by id.
     std::map<std::string, std::size_t> m_runs;
+    std::atomic<int> m_answers{0};
     int m_sequence = 0;
 };
 
@@ -317,6 +321,9 @@
 void put_manifest(object_store& store, int version, const std::string& host,
                   const std::vector<route_options>& routes, const std::set<std::string>& keyed_services);
 
+/// Sends requests of 5 ms one after the other, on keys spread over all servers. Returns how many got a 200.
+int warm_up(const machine& m, const std::string& host, const std::string& prefix, int requests);
+
 /// Whether the environment asks for a run without the disruption.
 bool without_trouble();
 /// A new temporary folder, removed when the object goes.
