--- a/review/common/stand_ins.cpp
+++ b/review/common/stand_ins.cpp
@@ -791,6 +791,27 @@
     return connection->ok() && connection->send(to_bytes(request)) && connection->read(answer, within);
 }
 
+bool upload_in_chunks(const address& front, const caller_request& request, std::size_t body_bytes,
+                      std::size_t bytes_per_s, message& answer) {
+    constexpr std::size_t chunk_bytes = 65'536;
+    const auto connection = stream::open(front);
+    if (!connection->ok() ||
+        !connection->send(request.method + " " + request.path + " HTTP/1.1\r\nHost: " + request.host +
+                          "\r\nX-Balsampost-Request-Id: " + request.id + "\r\nX-Balsampost-Deadline-Ms: " +
+                          std::to_string(request.deadline_ms) + "\r\nTransfer-Encoding: chunked\r\n\r\n")) {
+        return false;
+    }
+    const auto started = clock::now();
+    const std::string piece(chunk_bytes, 'u');
+    for (std::size_t sent = 0; sent < body_bytes; sent += chunk_bytes) {
+        if (!connection->send("10000\r\n" + piece + "\r\n")) {
+            return false;
+        }
+        std::this_thread::sleep_until(started + milliseconds(1'000 * sent / bytes_per_s));
+    }
+    return connection->send("0\r\n\r\n") && connection->read(answer, milliseconds{10'000});
+}
+
 kept_callers::kept_callers(record& log, std::string host, std::string path, std::vector<backend*> servers)
     : m_log(log), m_host(std::move(host)), m_path(std::move(path)), m_servers(std::move(servers)) {}
 
--- a/review/common/stand_ins.h
+++ b/review/common/stand_ins.h
@@ -284,6 +284,10 @@
 bool ask(const address& front, const caller_request& request, message& answer,
          milliseconds within = milliseconds{10'000});
 
+/// Sends one upload with its body in chunks, at `bytes_per_s`. Returns false if there was no complete answer.
+bool upload_in_chunks(const address& front, const caller_request& request, std::size_t body_bytes,
+                      std::size_t bytes_per_s, message& answer);
+
 /// Callers that keep their connections and send safe requests one after the other. Counts the requests that
 /// a sound server began to run and whose connection ended without an answer, by machine.
 class kept_callers {
