core, platform: objects of the store are read one by one, within limits

Callers saw all requests in flight cut, again at each restart, after another writer had put one deeply nested entry among the servers (LOST); with half of a surrogate pair in an entry, a leaving server got over 300 requests later than drain (DRAIN).

Cause: an answer of the store was parsed as one document and each value written out again by dump(), which recurses once a level. One value decided whether the others could be read, and a malformed watch was repeated at its revision for good.

Change: core/json_text.h takes an answer apart by brackets and strings, so that each object is read on its own, within limits of size and depth; values are kept as written. A malformed watch lists again; a list whose end cannot be read is malformed, not complete; the change feed keeps no value that it cannot send. Tenure, key table, member list, admin commands and lease answers are read by the same functions.

--- a/src/balsampostd/admin.cpp
+++ b/src/balsampostd/admin.cpp
@@ -1,6 +1,7 @@
 // The admin HTTP server: routing of requests and forwarding of operator commands.
 #include "admin.h"
 
+#include "balsampost/core/json_text.h"
 #include "balsampost/net/signal.h"
 
 #include <nlohmann/json.hpp>
@@ -96,7 +97,8 @@
 
 /// Expects a JSON list of strings in the body: the command's name, then its arguments.
 awaitable<http_answer> admin::handle_command(http_request request) {
-    const auto parts = nlohmann::json::parse(request.body, nullptr, false);
+    const auto parsed = core::parse_json(request.body);
+    const auto parts = parsed ? *parsed : nlohmann::json();
     if (!parts.is_array() || parts.empty() ||
         !std::all_of(parts.begin(), parts.end(), [](const auto& part) { return part.is_string(); })) {
         co_return http_answer{400,
--- a/src/balsampostd/cell_home.cpp
+++ b/src/balsampostd/cell_home.cpp
@@ -1,6 +1,7 @@
 // The home role of a cell: sends heartbeats to the coordinator and lease orders to the servers.
 #include "cell_runner.h"
 
+#include "balsampost/core/json_text.h"
 #include "balsampost/net/http.h"
 #include "balsampost/telemetry/log.h"
 
@@ -36,16 +37,20 @@
 }
 
 std::optional<core::lease_answer> answer_from(const net::http_answer& http) {
-    const auto json = nlohmann::json::parse(http.body, nullptr, false);
-    if (http.status != 200 || json.is_discarded() || !json.contains("time_ns")) {
+    const auto json = core::parse_json(http.body);
+    if (http.status != 200 || !json) {
         return std::nullopt;
     }
-    core::lease_answer answer;
-    answer.accepted = json.value("accepted", false);
-    answer.server_time_ns = json["time_ns"].get<std::int64_t>();
-    answer.list_version = json.value("list_version", std::uint64_t{0});
-    answer.running = json.value("running", 0U);
-    return answer;
+    try {
+        core::lease_answer answer;
+        answer.accepted = json->value("accepted", false);
+        answer.server_time_ns = json->at("time_ns").get<std::int64_t>();
+        answer.list_version = json->value("list_version", std::uint64_t{0});
+        answer.running = json->value("running", 0U);
+        return answer;
+    } catch (const nlohmann::json::exception&) {
+        return std::nullopt; // A field is missing or of another type.
+    }
 }
 
 } // namespace
--- a/src/include/balsampost/entry/change_feed.h
+++ b/src/include/balsampost/entry/change_feed.h
@@ -59,6 +59,8 @@
     /// the log does not reach back that far, or not even the first batch fits, the segment is empty and
     /// begins at the log's own revision, so that the receiver cannot apply it.
     feed_segment since(std::uint64_t revision) const;
+    /// Size of all values in the log.
+    std::size_t content_bytes() const;
 
 private:
     struct batch {
--- a/src/libbalsampost_core/key_coordinator_tenure.cpp
+++ b/src/libbalsampost_core/key_coordinator_tenure.cpp
@@ -1,6 +1,8 @@
 // Tenure of the coordinator: acquisition, renewal, release and JSON form.
 #include "balsampost/core/key_coordinator.h"
 
+#include "balsampost/core/json_text.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -222,8 +224,12 @@
 }
 
 result<tenure_record> tenure_from_json(const std::string& text) {
+    const auto parsed = parse_json(text);
+    if (!parsed) {
+        return fail(error_code::protocol, "tenure: " + parsed.error().message);
+    }
     try {
-        const auto value = nlohmann::json::parse(text);
+        const auto& value = *parsed;
         const auto at = parse_endpoint(value.at("holder_at").get<std::string>());
         if (!at) {
             return fail(error_code::protocol, "tenure: holder_at: " + at.error());
--- a/src/libbalsampost_core/key_table.cpp
+++ b/src/libbalsampost_core/key_table.cpp
@@ -1,6 +1,8 @@
 // Lookup, modification and JSON form of key tables.
 #include "balsampost/core/key_table.h"
 
+#include "balsampost/core/json_text.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -154,8 +156,12 @@
 }
 
 result<key_table> key_table_from_json(const std::string& text) {
+    const auto parsed = parse_json(text);
+    if (!parsed) {
+        return fail(error_code::protocol, "key table: " + parsed.error().message);
+    }
     try {
-        const auto value = nlohmann::json::parse(text);
+        const auto& value = *parsed;
         key_table table;
         table.term = value.at("term").get<std::uint64_t>();
         table.last_fence = value.at("last_fence").get<std::uint64_t>();
@@ -166,11 +172,11 @@
         }
         table.coordinator_at = *at;
         for (const auto& a : value.at("addresses")) {
-            const auto parsed = parse_endpoint(a.at(2).get<std::string>());
-            if (!parsed) {
-                return fail(error_code::protocol, "key table: addresses: " + parsed.error());
+            const auto address = parse_endpoint(a.at(2).get<std::string>());
+            if (!address) {
+                return fail(error_code::protocol, "key table: addresses: " + address.error());
             }
-            table.addresses[{a.at(0).get<std::string>(), a.at(1).get<std::int64_t>()}] = *parsed;
+            table.addresses[{a.at(0).get<std::string>(), a.at(1).get<std::int64_t>()}] = *address;
         }
         for (const auto& r : value.at("runs")) {
             key_range range{r.at(0).get<shard_key>(),
--- a/src/libbalsampost_entry/change_feed.cpp
+++ b/src/libbalsampost_entry/change_feed.cpp
@@ -48,6 +48,9 @@
 
 void change_log::add(batch b) {
     m_revision = b.to;
+    if (b.bytes > max_segment_bytes) {
+        b.changes = {}; // Never sent: without its content, the size of the log is bounded.
+    }
     m_batches.push_back(std::move(b));
     if (m_batches.size() > max_batches) {
         m_batches.pop_front();
@@ -81,6 +84,16 @@
     return segment;
 }
 
+std::size_t change_log::content_bytes() const {
+    std::size_t out = 0;
+    for (const auto& b : m_batches) {
+        for (const auto& c : b.changes) {
+            out += c.value.size();
+        }
+    }
+    return out;
+}
+
 bool can_apply(const feed_segment& segment, std::uint64_t revision) {
     return segment.from <= revision && revision <= segment.to;
 }
--- a/src/libbalsampost_entry/change_feed_test.cpp
+++ b/src/libbalsampost_entry/change_feed_test.cpp
@@ -115,6 +115,8 @@
     CPPUNIT_TEST(an_outage_ages_the_published_data);
     CPPUNIT_TEST(watch_calls_are_short_during_an_outage);
     CPPUNIT_TEST(followers_retry_less_often_during_an_outage);
+    CPPUNIT_TEST(unreadable_changes_are_read_as_a_list);
+    CPPUNIT_TEST(large_values_are_not_kept_in_the_log);
     CPPUNIT_TEST(a_relay_forwards_the_age_of_its_data);
     CPPUNIT_TEST(a_relay_queries_the_store_before_its_followers);
     CPPUNIT_TEST_SUITE_END();
@@ -309,6 +311,32 @@
         CPPUNIT_ASSERT(with_others >= 2 * alone);
     }
 
+    /// Guards against a watch that stays at a revision whose changes it cannot read.
+    void unreadable_changes_are_read_as_a_list() {
+        watch_fixture f;
+        f.store.answer_watch(tl::unexpected(store_fault::malformed));
+        f.run_until([&] { return !f.store.lists.empty(); });
+        f.store.answer_list(20, {{"a", 15, "v"}});
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{20}, f.watch->revision());
+        CPPUNIT_ASSERT(f.store.watches.size() == 1 && f.store.watched_from == 20);
+    }
+
+    /// Guards against memory that grows with the size of another writer's values: a large value is changed
+    /// again and again.
+    void large_values_are_not_kept_in_the_log() {
+        change_log log;
+        log.reset(10);
+        const std::string large(1U << 20U, 'x');
+        for (std::uint64_t revision = 11; revision < 60; ++revision) {
+            log.append({{{"large", revision, large}, false}}, revision);
+        }
+        CPPUNIT_ASSERT(log.content_bytes() < large.size());
+        CPPUNIT_ASSERT_MESSAGE("a receiver behind a large value reads the store",
+                               !can_apply(log.since(20), 20));
+        log.append({update_of("a", 60)}, 60);
+        CPPUNIT_ASSERT(can_apply(log.since(59), 59) && log.since(59).changes.size() == 1);
+    }
+
     void a_relay_forwards_the_age_of_its_data() {
         watch_fixture relay;
         relay.watch->set_role(watch_role::relay);
--- a/src/libbalsampost_entry/kind_watch.cpp
+++ b/src/libbalsampost_entry/kind_watch.cpp
@@ -119,7 +119,9 @@
 
 void kind_watch::changes_received(store_result<object_changes>& answer) {
     if (!answer) {
-        failed(answer.error(), answer.error() == store_fault::history_gone);
+        // A repeated watch would get the same malformed changes again; a list may do without them.
+        failed(answer.error(),
+               answer.error() == store_fault::history_gone || answer.error() == store_fault::malformed);
         return;
     }
     succeeded();
--- a/src/libbalsampost_platform/object_store.cpp
+++ b/src/libbalsampost_platform/object_store.cpp
@@ -1,6 +1,8 @@
 // The object API over HTTP.
 #include "balsampost/platform/object_store.h"
 
+#include "balsampost/core/json_text.h"
+
 #include <nlohmann/json.hpp>
 
 namespace balsampost::platform {
@@ -149,12 +151,16 @@
                                    {"address", core::to_string(s.location())},
                                    {"state", text_of(s.state)}});
     }
-    return root.dump();
+    return root.dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace);
 }
 
 core::result<core::member_list> members_from_json(const std::string& text) {
+    const auto parsed = core::parse_json(text);
+    if (!parsed) {
+        return core::fail(core::error_code::protocol, "bad member list: " + parsed.error().message);
+    }
     try {
-        const auto root = nlohmann::json::parse(text);
+        const auto& root = *parsed;
         core::member_list list;
         list.version = root.at("version").get<std::uint64_t>();
         for (const auto& item : root.at("instances")) {
