entry, core: a leaving owner of keys is used from the earliest time of its report, not from its reading

Requests for keys reached leaving servers later than drain (DRAIN), from instances without a fault, while the coordinator stood still just after a renewal.

Cause: two waits that were each within the bound added up. Instances that get updates from the coordinator ask the store themselves when these are 1.3 s old, and then used the owner of a key for 1.5 s from their own reading.

Change: each change bears the earliest time at which it may have been made, since the data was complete before as of a known time; publishers and relays pass it on. The period for a leaving owner counts from it, so that the sum is bounded; an instance that learns late stops sooner.

--- a/src/include/balsampost/core/backend_directory.h
+++ b/src/include/balsampost/core/backend_directory.h
@@ -38,6 +38,9 @@
     milliseconds warmup_left{0};
     /// When an entry with this content was first read; set by `backend_directory`.
     time_point read_at{};
+    /// Earliest time at which the server may have reported that it is leaving, if `draining`; set by
+    /// `backend_directory`.
+    time_point draining_since = never;
 
     time_point warmup_end() const { return read_at + warmup_left; }
 };
@@ -48,10 +51,13 @@
     /// `grace`: how long after the list has become readable again an entry that is missing from it is kept.
     explicit backend_directory(milliseconds grace = milliseconds{2'000}) : m_grace(grace) {}
 
-    /// Replaces all entries with the complete list read at `now`.
-    void replace(std::vector<backend> entries, time_point now);
-    /// Adds or updates one entry.
-    void put(backend entry, time_point now);
+    /// Replaces all entries with the complete list read at `now`, whose changes were made after `not_before`.
+    void replace(std::vector<backend> entries, time_point now, time_point not_before);
+    /// Adds or updates one entry, read at `now` and changed after `not_before`.
+    void put(backend entry, time_point now, time_point not_before);
+    /// As above, for entries that are read as soon as they change.
+    void replace(std::vector<backend> entries, time_point now) { replace(std::move(entries), now, now); }
+    void put(backend entry, time_point now) { put(std::move(entry), now, now); }
     /// Removes an entry at once, or at the end of the grace period if one is running. A draining server is
     /// always removed at once, since it left on purpose.
     void remove(const std::string& id, time_point now);
--- a/src/include/balsampost/core/server_selection.h
+++ b/src/include/balsampost/core/server_selection.h
@@ -61,7 +61,8 @@
     /// Fraction of the time to the deadline that the expected latency may take up. The remainder covers
     /// delays that the estimate does not include.
     double max_deadline_fraction = 0.85;
-    /// How long a draining server still gets requests for keys that it owns, while the keys are being moved.
+    /// How long a server still gets requests for keys that it owns while they are being moved, from the
+    /// earliest time at which it may have reported that it is leaving.
     milliseconds draining_owner_period{1'500};
 };
 
--- a/src/include/balsampost/entry/change_feed.h
+++ b/src/include/balsampost/entry/change_feed.h
@@ -14,6 +14,9 @@
 
 namespace balsampost::entry {
 
+/// Stands for an age that the sender does not know.
+inline constexpr std::uint32_t unknown_age_ms = 1U << 30U;
+
 /// Changes of one kind. A receiver whose revision is between `from` and `to` reaches `to` by applying
 /// `changes`.
 struct feed_segment {
@@ -22,8 +25,12 @@
         std::uint64_t revision = 0;
         std::string value;
         bool removed = false;
+        /// The change was made at most this long before the segment was sent.
+        std::uint32_t max_age_ms = unknown_age_ms;
+        /// As in `object_change`; not sent.
+        core::time_point not_before = core::never;
 
-        MSGPACK_DEFINE(name, revision, value, removed);
+        MSGPACK_DEFINE(name, revision, value, removed, max_age_ms);
     };
 
     /// Kind of the objects in the store.
--- a/src/include/balsampost/entry/entry.h
+++ b/src/include/balsampost/entry/entry.h
@@ -45,7 +45,7 @@
     bool apply_feed(const std::vector<feed_segment>& feed);
     void directory_updated();
     void manifest_received(const stored_object& object);
-    void backend_received(const stored_object& object);
+    void backend_received(const stored_object& object, core::time_point not_before);
     void update_key_services();
     void arm_directory_expiry();
     void table_changed(const std::string& service);
--- a/src/include/balsampost/entry/kind_watch.h
+++ b/src/include/balsampost/entry/kind_watch.h
@@ -18,8 +18,8 @@
 
 /// Callbacks of a watch, called on its thread.
 struct watch_handlers {
-    /// A complete list was read.
-    std::function<void(const std::vector<stored_object>&)> listed;
+    /// A complete list was read. Its differences from the objects known before were made after `not_before`.
+    std::function<void(const std::vector<stored_object>&, core::time_point not_before)> listed;
     std::function<void(const object_change&)> changed;
     /// Called after `listed`, and after each series of calls of `changed`.
     std::function<void()> batch_complete;
@@ -71,14 +71,17 @@
 private:
     void list();
     void watch();
-    void list_received(store_result<object_list>& answer);
-    void changes_received(store_result<object_changes>& answer);
+    void list_received(store_result<object_list>& answer, core::time_point sent);
+    void changes_received(store_result<object_changes>& answer, core::time_point sent);
+    /// Earliest time at which the changes in the answer to a watch call sent at `sent` may have been made.
+    core::time_point earliest_change(core::time_point sent) const;
     /// Appends the difference between the known objects and a new complete list to the log, so that followers
     /// need no list of their own.
-    void log_list(const object_list& list);
+    void log_list(const object_list& list, core::time_point not_before);
     void apply(const std::vector<object_change>& changes, std::uint64_t revision);
     void failed(store_fault fault, bool relist);
-    void succeeded();
+    /// The store answered: the data is complete as of `known_as_of`.
+    void succeeded(core::time_point known_as_of);
     /// Makes the next watch call, or pauses while another instance publishes.
     void watch_or_pause();
     void schedule_resume();
--- a/src/include/balsampost/entry/platform.h
+++ b/src/include/balsampost/entry/platform.h
@@ -32,6 +32,9 @@
 struct object_change {
     stored_object object;
     bool removed = false;
+    /// Earliest time at which the change may have been made; `never` if nothing is known of it. Set by the
+    /// watch.
+    core::time_point not_before = core::never;
 };
 
 struct object_changes {
--- a/src/libbalsampost_core/backend_directory.cpp
+++ b/src/libbalsampost_core/backend_directory.cpp
@@ -5,7 +5,7 @@
 
 namespace balsampost::core {
 
-void backend_directory::replace(std::vector<backend> entries, time_point now) {
+void backend_directory::replace(std::vector<backend> entries, time_point now, time_point not_before) {
     std::map<std::string, backend> next;
     for (auto& e : entries) {
         auto id = e.self.id;
@@ -21,17 +21,20 @@
         remove(id, now);
     }
     for (auto& [id, e] : next) {
-        put(std::move(e), now);
+        put(std::move(e), now, not_before);
     }
 }
 
-void backend_directory::put(backend entry, time_point now) {
+void backend_directory::put(backend entry, time_point now, time_point not_before) {
     const auto known = m_entries.find(entry.self.id);
-    // The warm-up time and the draining period count from the first read of unchanged content.
+    // The warm-up time counts from the first read of unchanged content.
     const bool unchanged = known != m_entries.end() && known->second.self == entry.self &&
                            known->second.draining == entry.draining &&
                            known->second.warmup_left == entry.warmup_left;
     entry.read_at = unchanged ? known->second.read_at : now;
+    const bool was_draining =
+        known != m_entries.end() && known->second.self == entry.self && known->second.draining;
+    entry.draining_since = !entry.draining ? never : was_draining ? known->second.draining_since : not_before;
     m_missing.erase(entry.self.id);
     auto id = entry.self.id;
     m_entries.insert_or_assign(std::move(id), std::move(entry));
--- a/src/libbalsampost_core/routing_test.cpp
+++ b/src/libbalsampost_core/routing_test.cpp
@@ -41,6 +41,7 @@
     CPPUNIT_TEST(repeats_of_all_instances_stay_within_the_limit);
     CPPUNIT_TEST(nearby_servers_are_chosen_until_they_are_busy);
     CPPUNIT_TEST(backed_off_and_draining_servers_are_not_chosen);
+    CPPUNIT_TEST(draining_counts_from_the_earliest_possible_report);
     CPPUNIT_TEST(bad_estimates_decay);
     CPPUNIT_TEST(servers_that_always_queue_yield_samples);
     CPPUNIT_TEST(overload_is_refused_and_served_requests_are_on_time);
@@ -207,7 +208,7 @@
         pool.attempt_ended("one", attempt_result::unreachable, milliseconds{1}, std::nullopt, begin);
         CPPUNIT_ASSERT_EQUAL(std::string("two"), pool.choose(request, begin, random).server);
         two.draining = true;
-        two.read_at = begin;
+        two.draining_since = begin;
         pool.update({&one, &two}, 1000, 1);
         const auto none = pool.choose(request, begin, random);
         CPPUNIT_ASSERT(none.server.empty() && none.retry_after > milliseconds{0});
@@ -217,6 +218,30 @@
         CPPUNIT_ASSERT(pool.check("two", request, begin + seconds{2}).server.empty());
     }
 
+    /// Guards against requests at a server that left long ago: an instance learnt late that the server
+    /// leaves, and counted the period from then.
+    void draining_counts_from_the_earliest_possible_report() {
+        const selection_request request{milliseconds{400}, milliseconds{1'000}, 0, {}};
+        const auto served_at = [&](time_point not_before, time_point read_at, time_point at) {
+            backend_directory d;
+            d.put(make_backend("x", "a1"), begin);
+            auto leaving = make_backend("x", "a1");
+            leaving.draining = true;
+            d.put(leaving, read_at, not_before);
+            d.put(leaving, read_at + seconds{5}); // A repeated report does not restart the period.
+            server_pool pool({}, "a1", regions);
+            pool.update({d.find("x")}, 1000, 1);
+            return !pool.check("x", request, at).server.empty();
+        };
+        const auto read_at = begin + seconds{10};
+        CPPUNIT_ASSERT(served_at(read_at, read_at, read_at + milliseconds{1'400}));
+        CPPUNIT_ASSERT(!served_at(read_at, read_at, read_at + milliseconds{1'500}));
+        const auto earlier = read_at - milliseconds{1'300};
+        CPPUNIT_ASSERT(served_at(earlier, read_at, read_at + milliseconds{100}));
+        CPPUNIT_ASSERT(!served_at(earlier, read_at, read_at + milliseconds{200}));
+        CPPUNIT_ASSERT_MESSAGE("nothing is known of the time", !served_at(never, read_at, read_at));
+    }
+
     /// A server that had shed a few requests got no further requests, so its estimates never improved.
     void bad_estimates_decay() {
         server_pool pool({}, "a1", regions);
--- a/src/libbalsampost_core/server_selection.cpp
+++ b/src/libbalsampost_core/server_selection.cpp
@@ -188,7 +188,7 @@
     const auto found = m_servers.find(server);
     if (found == m_servers.end() || now < found->second.backoff_until ||
         (found->second.info.draining &&
-         now >= found->second.info.read_at + m_settings.draining_owner_period)) {
+         now >= after(found->second.info.draining_since, m_settings.draining_owner_period))) {
         return {"", milliseconds{0}, min_retry_after};
     }
     const auto& s = found->second;
--- a/src/libbalsampost_entry/change_feed.cpp
+++ b/src/libbalsampost_entry/change_feed.cpp
@@ -40,7 +40,8 @@
             add(std::exchange(b, batch{highest, end, {}, 0}));
         }
         b.bytes += c.object.value.size() + change_overhead_bytes;
-        b.changes.push_back({c.object.name, c.object.revision, c.object.value, c.removed});
+        b.changes.push_back(
+            {c.object.name, c.object.revision, c.object.value, c.removed, unknown_age_ms, c.not_before});
         highest = std::max(highest, c.object.revision);
     }
     add(std::move(b));
--- a/src/libbalsampost_entry/change_feed_test.cpp
+++ b/src/libbalsampost_entry/change_feed_test.cpp
@@ -61,8 +61,9 @@
     watch_fixture()
         : clock(context), watch(std::make_shared<kind_watch>(
                               store, clock, "k", max_age,
-                              watch_handlers{[](const auto&) {},
+                              watch_handlers{[](const auto&, auto) {},
                                              [this](const object_change& c) {
+                                                 not_before = c.not_before;
                                                  if (c.removed) {
                                                      objects.erase(c.object.name);
                                                  } else {
@@ -96,7 +97,8 @@
     timers clock;
     manual_store store;
     std::map<std::string, std::uint64_t> objects;
-    std::optional<core::milliseconds> grace; // Last reported grace period.
+    std::optional<core::milliseconds> grace;   // Last reported grace period.
+    core::time_point not_before = core::never; // Of the last change.
     std::shared_ptr<kind_watch> watch;
 };
 
@@ -115,6 +117,7 @@
     CPPUNIT_TEST(an_outage_ages_the_published_data);
     CPPUNIT_TEST(watch_calls_are_short_during_an_outage);
     CPPUNIT_TEST(followers_retry_less_often_during_an_outage);
+    CPPUNIT_TEST(changes_bear_the_earliest_time_at_which_they_may_have_been_made);
     CPPUNIT_TEST(unreadable_changes_are_read_as_a_list);
     CPPUNIT_TEST(large_values_are_not_kept_in_the_log);
     CPPUNIT_TEST(a_relay_forwards_the_age_of_its_data);
@@ -311,6 +314,32 @@
         CPPUNIT_ASSERT(with_others >= 2 * alone);
     }
 
+    /// Guards against a leaving server that is used too long because its change counts from the time at which
+    /// it was read: the publisher was silent, and the change is older than that.
+    void changes_bear_the_earliest_time_at_which_they_may_have_been_made() {
+        watch_fixture k;
+        auto s = k.segment(10, 11, {{"a", 11, "x", false, 700}});
+        s.age_ms = 400;
+        const auto first_update = now();
+        k.watch->receive(s);
+        CPPUNIT_ASSERT_MESSAGE("known when this instance read its list",
+                               k.not_before <= first_update && k.not_before > first_update - 700ms);
+        k.watch->receive(k.segment(11, 12, {{"a", 12, "y"}}));
+        CPPUNIT_ASSERT_MESSAGE("the sender knows nothing: the data was complete as of the list",
+                               k.not_before <= first_update && k.not_before >= first_update - 400ms);
+        k.watch->receive(k.segment(12, 13, {{"a", 13, "z", false, 5'000}}));
+        CPPUNIT_ASSERT_MESSAGE("the sender's own bound is wider than the receiver's",
+                               k.not_before > now() - 5'000ms);
+        const auto relayed = k.watch->segment_since(12);
+        CPPUNIT_ASSERT_MESSAGE("a relay passes the bound on",
+                               relayed.changes.size() == 1 && relayed.changes[0].max_age_ms < 5'000);
+        // An answer of the store that comes at once may bring a change that is as old as the last answer.
+        watch_fixture own;
+        const auto listed = now();
+        own.store.answer_watch(object_changes{{update_of("a", 11)}, 11});
+        CPPUNIT_ASSERT(own.not_before <= listed && own.not_before > listed - max_age);
+    }
+
     /// Guards against a watch that stays at a revision whose changes it cannot read.
     void unreadable_changes_are_read_as_a_list() {
         watch_fixture f;
--- a/src/libbalsampost_entry/entry_store_watches.cpp
+++ b/src/libbalsampost_entry/entry_store_watches.cpp
@@ -26,7 +26,7 @@
     const auto ignore_recovery = [](core::milliseconds) {};
     const auto ignore_failure = [](store_fault) {};
     watch_handlers backends{
-        [this](const std::vector<stored_object>& objects) {
+        [this](const std::vector<stored_object>& objects, core::time_point not_before) {
             std::vector<core::backend> entries;
             for (const auto& o : objects) {
                 auto decoded = m_platform->decode_backend(o);
@@ -37,14 +37,14 @@
                                    {{"server", o.name}, {"reason", decoded.error().message}});
                 }
             }
-            m_state.directory().replace(std::move(entries), now());
+            m_state.directory().replace(std::move(entries), now(), not_before);
         },
         [this](const object_change& c) {
             if (c.removed) {
                 telemetry::log(event::backends_changed, {{"server", c.object.name}, {"change", "removed"}});
                 m_state.directory().remove(c.object.name, now());
             } else {
-                backend_received(c.object);
+                backend_received(c.object, c.not_before);
             }
         },
         [this] { directory_updated(); },
@@ -62,7 +62,7 @@
         }};
     m_backend_watch = std::make_shared<kind_watch>(store, m_timers, m_platform->kinds().backends, max_age,
                                                    std::move(backends));
-    watch_handlers manifests{[this](const std::vector<stored_object>& objects) {
+    watch_handlers manifests{[this](const std::vector<stored_object>& objects, core::time_point) {
                                  for (const auto& o : objects) {
                                      manifest_received(o);
                                  }
@@ -79,7 +79,7 @@
     m_manifest_watch->start();
 }
 
-void entry::backend_received(const stored_object& object) {
+void entry::backend_received(const stored_object& object, core::time_point not_before) {
     auto decoded = m_platform->decode_backend(object);
     if (!decoded) {
         telemetry::log(event::backend_unusable,
@@ -91,7 +91,7 @@
                                              {"service", decoded->service},
                                              {"change", decoded->draining ? "draining" : "listed"},
                                              {"revision", std::to_string(object.revision)}});
-    m_state.directory().put(std::move(*decoded), now());
+    m_state.directory().put(std::move(*decoded), now(), not_before);
 }
 
 void entry::directory_updated() {
--- a/src/libbalsampost_entry/entry_test.cpp
+++ b/src/libbalsampost_entry/entry_test.cpp
@@ -249,7 +249,7 @@
         timers clock(context);
         const auto watch = std::make_shared<kind_watch>(
             store, clock, "k", 1300ms,
-            watch_handlers{[](const auto&) {}, [](const auto&) {}, [] {}, [](auto) {}, [](auto) {}});
+            watch_handlers{[](const auto&, auto) {}, [](const auto&) {}, [] {}, [](auto) {}, [](auto) {}});
         watch->start();
         // The platform's bounds allow an instance three seconds after a partition to catch up with the store.
         CPPUNIT_ASSERT(store.requested_wait > 0ms && store.requested_wait <= 3s);
--- a/src/libbalsampost_entry/kind_watch.cpp
+++ b/src/libbalsampost_entry/kind_watch.cpp
@@ -28,7 +28,8 @@
 // A relay queries the store this fraction of the maximum age before its followers would.
 constexpr int relay_lead_percent = 25;
 constexpr int percent = 100;
-constexpr std::uint32_t unknown_age_ms = 1U << 30U;
+// A store without a fault answers a waiting watch within this time after a change.
+constexpr core::milliseconds max_answer_delay{500};
 // After an outage of the store, live servers re-create their expired entries within this time.
 constexpr core::milliseconds recovery_grace{2'000};
 constexpr core::milliseconds initial_retry_delay{
@@ -56,42 +57,43 @@
 }
 
 void kind_watch::list() {
-    m_store.list(m_kind, [self = shared_from_this()](store_result<object_list> answer) {
+    m_store.list(m_kind, [self = shared_from_this(), sent = now()](store_result<object_list> answer) {
         if (!self->m_stopped) {
-            self->list_received(answer);
+            self->list_received(answer, sent);
         }
     });
 }
 
-void kind_watch::list_received(store_result<object_list>& answer) {
+void kind_watch::list_received(store_result<object_list>& answer, core::time_point sent) {
     if (!answer) {
         failed(answer.error(), true);
         return;
     }
-    succeeded();
-    log_list(*answer);
+    const auto not_before = m_known_as_of;
+    succeeded(sent);
+    log_list(*answer, not_before);
     m_revision = answer->revision;
     if (!std::exchange(m_listed, true)) {
         m_recovered_at = m_store_answered_at; // An outage may have ended just before the first list.
     }
-    m_handlers.listed(answer->objects);
+    m_handlers.listed(answer->objects, not_before);
     m_handlers.batch_complete();
     watch_or_pause();
 }
 
-void kind_watch::log_list(const object_list& list) {
+void kind_watch::log_list(const object_list& list, core::time_point not_before) {
     std::vector<object_change> changes;
     std::map<std::string, std::uint64_t> objects;
     for (const auto& o : list.objects) {
         objects.emplace(o.name, o.revision);
         const auto known = m_objects.find(o.name);
         if (known == m_objects.end() || known->second != o.revision) {
-            changes.push_back({o, false});
+            changes.push_back({o, false, not_before});
         }
     }
     for (const auto& [name, revision] : m_objects) {
         if (!objects.contains(name)) {
-            changes.push_back({{name, list.revision, ""}, true});
+            changes.push_back({{name, list.revision, ""}, true, not_before});
         }
     }
     m_objects = std::move(objects);
@@ -110,21 +112,30 @@
                       : m_role != watch_role::follower ? publisher_wait
                       : now() < m_short_waits_until    ? cautious_wait
                                                        : max_watch_wait;
-    m_store.watch(m_kind, m_revision, wait, [self = shared_from_this()](store_result<object_changes> answer) {
-        if (!self->m_stopped) {
-            self->changes_received(answer);
-        }
-    });
+    m_store.watch(m_kind, m_revision, wait,
+                  [self = shared_from_this(), sent = now()](store_result<object_changes> answer) {
+                      if (!self->m_stopped) {
+                          self->changes_received(answer, sent);
+                      }
+                  });
 }
 
-void kind_watch::changes_received(store_result<object_changes>& answer) {
+core::time_point kind_watch::earliest_change(core::time_point sent) const {
+    const bool was_waiting = m_outage_since == core::never && now() - sent >= max_answer_delay;
+    return was_waiting ? std::max<core::time_point>(m_known_as_of, now() - max_answer_delay) : m_known_as_of;
+}
+
+void kind_watch::changes_received(store_result<object_changes>& answer, core::time_point sent) {
     if (!answer) {
         // A repeated watch would get the same malformed changes again; a list may do without them.
         failed(answer.error(),
                answer.error() == store_fault::history_gone || answer.error() == store_fault::malformed);
         return;
     }
-    succeeded();
+    for (auto& change : answer->changes) {
+        change.not_before = earliest_change(sent);
+    }
+    succeeded(now());
     const bool has_changes = !answer->changes.empty() && answer->revision > m_revision;
     // An answer older than an update received meanwhile from another instance would revert that update.
     if (answer->revision >= m_revision) {
@@ -209,6 +220,9 @@
             std::max<std::int64_t>(0, std::chrono::duration_cast<core::milliseconds>(d).count()));
     };
     segment.kind = m_kind;
+    for (auto& c : segment.changes) {
+        c.max_age_ms = c.not_before == core::never ? unknown_age_ms : ms(at - c.not_before);
+    }
     if (last_from_peer()) {
         segment.age_ms = ms(at - m_known_as_of);
         segment.grace_ms = m_peer_grace_until == core::never ? 0 : ms(m_peer_grace_until - at);
@@ -227,6 +241,7 @@
     if (!m_listed || m_role == watch_role::publisher || !can_apply(segment, m_revision) || until <= now()) {
         return false;
     }
+    const auto known_before = m_known_as_of;
     if (!segment.has_more()) { // Otherwise the data is only as recent as it was.
         m_peer_fresh_until = std::max(m_peer_fresh_until, until);
         const auto known_as_of = until - m_max_age;
@@ -241,7 +256,10 @@
     }
     std::vector<object_change> changes;
     for (const auto& c : segment.changes) {
-        changes.push_back({{c.name, c.revision, c.value}, c.removed});
+        const auto not_before =
+            c.max_age_ms < unknown_age_ms ? now() - core::milliseconds{c.max_age_ms} : core::never;
+        changes.push_back(
+            {{c.name, c.revision, c.value}, c.removed, std::max<core::time_point>(known_before, not_before)});
     }
     apply(changes, segment.to);
     return segment.has_more();
@@ -249,9 +267,10 @@
 
 // Failures of the store
 
-void kind_watch::succeeded() {
+void kind_watch::succeeded(core::time_point known_as_of) {
     m_failures = 0;
-    m_store_answered_at = m_known_as_of = now();
+    m_store_answered_at = now();
+    m_known_as_of = std::max(m_known_as_of, known_as_of);
     if (m_outage_since != core::never) {
         const auto outage = std::chrono::duration_cast<core::milliseconds>(now() - m_outage_since);
         m_outage_since = core::never;
