platform, entry, net: what servers and peers send is decoded within limits before it is passed on

Callers saw all requests in flight at one instance cut (LOST): wrong bytes in a handover ended the coordinator's process, and answers to grants without end took it past the machine's memory.

Cause: the handover's bytes went into a JSON body as they were, and dump() throws for a string that is no UTF-8; the client that sends orders had default limits of 64 MB a body and 128 MB in all.

Change: a handover is a token of visible ASCII characters or none; JSON is written by one function that cannot fail; the client's default limits suit a small machine, and orders and the store get their own. An answer of the store over its limit is malformed, so that a watch lists again. Peers' datagrams and frames are unpacked with bounds on lengths and depth, and a table's key ranges must lie in the key space.

Tests, which the code before does not pass or compile: adapter_test::wrong_bytes_in_a_handover_are_not_passed_on, an_answer_too_large_for_the_store_is_malformed, http_client_test::default_limits_suit_a_small_instance, entry_test::malformed_tables_of_peers_are_rejected, lengths_and_depth_of_a_datagram_are_bounded.

--- a/src/include/balsampost/entry/http_client.h
+++ b/src/include/balsampost/entry/http_client.h
@@ -35,6 +35,7 @@
     bool refused = false;   ///< `not_sent` because the connection was refused.
     bool connected = false; ///< Only for `connect_only`: the connection was established.
     bool timed_out = false; ///< `not_sent` or `lost` because of a timeout.
+    bool malformed = false; ///< `lost` because the response broke the protocol or a limit.
     bool reused = false;    ///< The connection had served a request before.
 };
 
@@ -51,10 +52,10 @@
 using exchange_handler = std::function<bool(exchange_result&)>;
 
 struct client_limits {
-    core::milliseconds connect_time{400};       ///< The system resends a lost SYN only after a second.
-    core::milliseconds idle_time{8'000};        ///< A connection idle for longer is not reused.
-    std::uint64_t body_bytes = 64U << 20U;      ///< Of one response.
-    std::uint64_t all_body_bytes = 128U << 20U; ///< Of all responses that are being read.
+    core::milliseconds connect_time{400};      ///< The system resends a lost SYN only after a second.
+    core::milliseconds idle_time{8'000};       ///< A connection idle for longer is not reused.
+    std::uint64_t body_bytes = 4U << 20U;      ///< Of one response.
+    std::uint64_t all_body_bytes = 16U << 20U; ///< Of all responses that are being read.
 };
 
 class http_connection;
--- a/src/include/balsampost/entry/platform.h
+++ b/src/include/balsampost/entry/platform.h
@@ -123,6 +123,8 @@
     virtual core::result<core::backend> decode_backend(const stored_object& object) const = 0;
     virtual core::result<core::manifest> decode_manifest(const stored_object& object) const = 0;
     virtual std::optional<core::load_report> decode_load(std::string_view text) const = 0;
+    /// Returns the data for the next owner of released keys, or nothing if a server cannot have meant it.
+    virtual std::optional<std::string> decode_handover(std::string_view text) const = 0;
     virtual encoded_call encode(const core::send_grant& grant) const = 0;
     virtual encoded_call encode(const core::send_release& release) const = 0;
 };
--- a/src/include/balsampost/net/frame.h
+++ b/src/include/balsampost/net/frame.h
@@ -9,6 +9,7 @@
 #include "balsampost/core/outcome.h"
 #include "balsampost/core/pair_lease.h"
 #include "balsampost/core/versioned_set.h"
+#include "balsampost/net/unpack.h"
 
 #include <msgpack.hpp>
 
@@ -206,7 +207,7 @@
 core::result<Message> unpack_message(std::string_view bytes) {
     try {
         std::size_t offset = 0;
-        const auto handle = msgpack::unpack(bytes.data(), bytes.size(), offset);
+        const auto handle = unpack_value(bytes, offset);
         if (offset != bytes.size()) {
             return core::fail(core::error_code::protocol, "trailing bytes after a message");
         }
--- a/src/libbalsampost_core/key_coordinator_tenure.cpp
+++ b/src/libbalsampost_core/key_coordinator_tenure.cpp
@@ -216,11 +216,10 @@
 // JSON form
 
 std::string to_json(const tenure_record& record) {
-    return nlohmann::json{{"term", record.term},
-                          {"holder", record.holder},
-                          {"holder_at", to_string(record.holder_at)},
-                          {"renewals", record.renewals}}
-        .dump();
+    return json_to_string(nlohmann::json{{"term", record.term},
+                                         {"holder", record.holder},
+                                         {"holder_at", to_string(record.holder_at)},
+                                         {"renewals", record.renewals}});
 }
 
 result<tenure_record> tenure_from_json(const std::string& text) {
--- a/src/libbalsampost_core/key_table.cpp
+++ b/src/libbalsampost_core/key_table.cpp
@@ -146,13 +146,12 @@
     for (const auto& [server, at] : table.addresses) {
         addresses.push_back({server.id, server.started_ms, to_string(at)});
     }
-    return nlohmann::json{{"term", table.term},
-                          {"last_fence", table.last_fence},
-                          {"coordinator", table.coordinator},
-                          {"coordinator_at", to_string(table.coordinator_at)},
-                          {"addresses", std::move(addresses)},
-                          {"runs", std::move(ranges)}}
-        .dump();
+    return json_to_string(nlohmann::json{{"term", table.term},
+                                         {"last_fence", table.last_fence},
+                                         {"coordinator", table.coordinator},
+                                         {"coordinator_at", to_string(table.coordinator_at)},
+                                         {"addresses", std::move(addresses)},
+                                         {"runs", std::move(ranges)}});
 }
 
 result<key_table> key_table_from_json(const std::string& text) {
--- a/src/libbalsampost_entry/entry.cpp
+++ b/src/libbalsampost_entry/entry.cpp
@@ -29,8 +29,16 @@
 
 // A single answer of a server, and all answers being read, may use the memory divided by these.
 constexpr std::uint64_t body_memory_divisor = 8;
+constexpr std::uint64_t max_answer_bytes = 64U << 20U;
 constexpr std::uint64_t all_bodies_memory_divisor = 4;
 
+// The answer to an order has a short body, if any.
+constexpr std::uint64_t order_body_bytes = 64U << 10U;
+constexpr std::uint64_t all_order_bodies_bytes = 4U << 20U;
+// The store answers with a page or an object of about a mebibyte at most.
+constexpr std::uint64_t store_body_bytes = 4U << 20U;
+constexpr std::uint64_t all_store_bodies_bytes = 16U << 20U;
+
 // Added to the polling interval of the tenure on the instance with the least capacity, in multiples of that
 // interval.
 constexpr double max_extra_poll_stretch = 3;
@@ -60,11 +68,18 @@
 client_limits client_limits_of(const settings& s) {
     client_limits out;
     const auto memory = static_cast<std::uint64_t>(s.resources.memory_mb) << 20U;
-    out.body_bytes = std::min(out.body_bytes, memory / body_memory_divisor);
+    out.body_bytes = std::min(max_answer_bytes, memory / body_memory_divisor);
     out.all_body_bytes = memory / all_bodies_memory_divisor;
     return out;
 }
 
+client_limits limits_of_bodies(std::uint64_t one, std::uint64_t all) {
+    client_limits out;
+    out.body_bytes = one;
+    out.all_body_bytes = all;
+    return out;
+}
+
 /// Returns the maximum timeout of the routes to `service`. It is never less than the default, since a later
 /// manifest may raise it.
 core::milliseconds max_route_timeout(const core::route_index& routes, const std::string& service) {
@@ -83,8 +98,9 @@
 
 entry::entry(settings s, const platform_factory& make_platform)
     : m_settings(std::move(s)), m_started(now()), m_timers(m_context),
-      m_client(m_context, m_timers, client_limits_of(m_settings)), m_order_client(m_context, m_timers, {}),
-      m_store_client(m_context, m_timers, {}),
+      m_client(m_context, m_timers, client_limits_of(m_settings)),
+      m_order_client(m_context, m_timers, limits_of_bodies(order_body_bytes, all_order_bodies_bytes)),
+      m_store_client(m_context, m_timers, limits_of_bodies(store_body_bytes, all_store_bodies_bytes)),
       m_platform(make_platform(m_store_client, m_timers, m_settings)), m_state(m_settings),
       m_callers(m_context, {m_state, m_client, m_timers, *m_platform, m_metrics}, m_settings),
       m_readiness_server(m_context,
--- a/src/libbalsampost_entry/entry_test.cpp
+++ b/src/libbalsampost_entry/entry_test.cpp
@@ -6,6 +6,7 @@
 #include "balsampost/entry/kind_watch.h"
 #include "balsampost/entry/peer_exchange.h"
 #include "balsampost/entry/settings.h"
+#include "balsampost/net/unpack.h"
 #include "fakes.h"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -122,6 +123,8 @@
     CPPUNIT_TEST(unknown_host_or_no_manifest);
     CPPUNIT_TEST(settings_faults_name_section_and_key);
     CPPUNIT_TEST(key_tables_survive_packing);
+    CPPUNIT_TEST(malformed_tables_of_peers_are_rejected);
+    CPPUNIT_TEST(lengths_and_depth_of_a_datagram_are_bounded);
     CPPUNIT_TEST(watch_timeout_detects_a_lost_call);
     CPPUNIT_TEST_SUITE_END();
 
@@ -231,6 +234,49 @@
         CPPUNIT_ASSERT(!empty && empty.error().size() == 4);
     }
 
+    /// Guards against a peer's key ranges that leave the key space, and against cut or changed bytes.
+    void malformed_tables_of_peers_are_rejected() {
+        const auto packed_range = [](std::uint32_t from, std::uint32_t size) {
+            msgpack::sbuffer out;
+            msgpack::packer<msgpack::sbuffer> p(out);
+            p.pack_array(6).pack(1).pack(1).pack("c").pack("10.0.0.1:1").pack_array(0);
+            p.pack_array(1).pack_array(5).pack(from).pack(size).pack(0).pack(1).pack_array(0);
+            return std::string(out.data(), out.size());
+        };
+        CPPUNIT_ASSERT(unpack_table(packed_range(0, 65'536)) && unpack_table(packed_range(65'535, 1)));
+        CPPUNIT_ASSERT(!unpack_table(packed_range(0, 0)) && !unpack_table(packed_range(65'536, 1)));
+        CPPUNIT_ASSERT(!unpack_table(packed_range(1, 65'536)) && !unpack_table(packed_range(5, 0xffffffffU)));
+        const auto whole = packed_range(0, 65'536);
+        for (std::size_t n = 0; n < whole.size(); ++n) {
+            CPPUNIT_ASSERT(!unpack_table(whole.substr(0, n)));
+            for (const char c : {'\x00', '\xff', '\xdd', '\xdf'}) {
+                auto changed = whole;
+                changed[n] = c;
+                const auto table = unpack_table(changed);
+                CPPUNIT_ASSERT(!table || table->ranges.empty() || table->ranges[0].to < core::key_count);
+            }
+        }
+    }
+
+    /// Guards against memory reserved for a length that a datagram only claims, and against deep nesting.
+    void lengths_and_depth_of_a_datagram_are_bounded() {
+        const auto rejected = [](const std::string& bytes) {
+            std::size_t offset = 0;
+            try {
+                net::unpack_value(bytes, offset);
+                return false;
+            } catch (const msgpack::unpack_error&) {
+                return true;
+            }
+        };
+        using namespace std::string_literals;
+        CPPUNIT_ASSERT(!rejected("\x93\x01\x02\x03"s));
+        CPPUNIT_ASSERT_MESSAGE("an array of 4 Gi elements", rejected("\xdd\xff\xff\xff\xff\x01"s));
+        CPPUNIT_ASSERT_MESSAGE("a map of 4 Gi elements", rejected("\xdf\xff\xff\xff\xff\x01"s));
+        CPPUNIT_ASSERT_MESSAGE("a string of 4 GiB", rejected("\xdb\xff\xff\xff\xff\x61"s));
+        CPPUNIT_ASSERT_MESSAGE("deep lists", rejected(std::string(60'000, '\x91') + "\x01"));
+    }
+
     /// A watch call lost in a network partition once blocked for 20 s while servers were leaving.
     void watch_timeout_detects_a_lost_call() {
         struct recording_store : object_store {
--- a/src/libbalsampost_entry/fakes.h
+++ b/src/libbalsampost_entry/fakes.h
@@ -179,6 +179,9 @@
         return core::manifest{};
     }
     std::optional<core::load_report> decode_load(std::string_view) const override { return std::nullopt; }
+    std::optional<std::string> decode_handover(std::string_view text) const override {
+        return std::string(text);
+    }
     encoded_call encode(const core::send_grant&) const override { return {}; }
     encoded_call encode(const core::send_release&) const override { return {}; }
 
--- a/src/libbalsampost_entry/http_client.cpp
+++ b/src/libbalsampost_entry/http_client.cpp
@@ -260,7 +260,7 @@
                 break;
             }
             if (ec) {
-                fail("malformed response: " + ec.message(), false);
+                fail_malformed("malformed response: " + ec.message());
                 return;
             }
             if (m_parser->is_header_done() && !m_parser->is_done()) {
@@ -268,7 +268,7 @@
                 // body begins.
                 const auto length = m_parser->content_length();
                 if (length && *length > m_owner.m_limits.body_bytes) {
-                    fail("the body is too large", false);
+                    fail_malformed("the body is too large");
                     return;
                 }
                 m_parser->eager(true);
@@ -278,12 +278,12 @@
             }
         }
         if (!account_body()) {
-            fail("the responses being read exceed the memory limit", false);
+            fail_malformed("the responses being read exceed the memory limit");
             return;
         }
         if (!m_parser->is_done()) {
             if (m_response_bytes > max_framing_bytes + (1 + max_framing_per_body_byte) * m_accounted_bytes) {
-                fail("the response has too many framing bytes", false);
+                fail_malformed("the response has too many framing bytes");
                 return;
             }
             read();
@@ -292,7 +292,7 @@
         const auto status = m_parser->get().result_int();
         if (status >= 100 && status < 200) {
             if (++m_interim_count > max_interim_responses) {
-                fail("too many interim responses", false);
+                fail_malformed("too many interim responses");
                 return;
             }
             start_response();
@@ -350,6 +350,11 @@
         return allowed;
     }
 
+    void fail_malformed(const std::string& reason) {
+        m_malformed = true;
+        fail(reason, false);
+    }
+
     void fail(const std::string& reason, bool timed_out) {
         if (m_closed) {
             return;
@@ -360,6 +365,7 @@
         result.refused = m_refused;
         result.connected = m_connect_succeeded;
         result.timed_out = timed_out;
+        result.malformed = m_malformed;
         result.reused = m_completed > 0;
         const auto self = shared_from_this();
         const auto done = std::exchange(m_done, nullptr);
@@ -388,6 +394,7 @@
     bool m_send_started = false; // A byte of the current request may have been sent.
     bool m_written = false;      // The whole request was written to the socket.
     bool m_refused = false;
+    bool m_malformed = false;         // The response broke the protocol or a limit.
     bool m_connect_succeeded = false; // Set only for connect_only requests.
     bool m_closed = false;
 };
--- a/src/libbalsampost_entry/http_client_test.cpp
+++ b/src/libbalsampost_entry/http_client_test.cpp
@@ -78,6 +78,7 @@
     CPPUNIT_TEST_SUITE(http_client_test);
     CPPUNIT_TEST(endless_responses_are_cut_off);
     CPPUNIT_TEST(responses_share_a_memory_limit);
+    CPPUNIT_TEST(default_limits_suit_a_small_instance);
     CPPUNIT_TEST_SUITE_END();
 
     void endless_responses_are_cut_off() {
@@ -136,6 +137,33 @@
         }
     }
 
+    /// Guards against answers to orders, which have no body worth reading, that take more memory than the
+    /// machine has: bytes without end from several servers at once.
+    void default_limits_suit_a_small_instance() {
+        net::asio::io_context context{1};
+        timers timer_queue(context);
+        http_client client(context, timer_queue, {});
+        endless_backend server(context, "HTTP/1.1 200 OK\r\n\r\n", std::string(1U << 20U, 'x'), 0ms);
+        std::size_t lost = 0;
+        std::uint64_t most = 0;
+        for (int i = 0; i < 8; ++i) {
+            exchange_request request;
+            request.head = "POST /x HTTP/1.1\r\n\r\n";
+            request.new_connection = true;
+            request.deadline = now() + 60'000ms;
+            client.start(server.at(), std::move(request), [&](exchange_result& result) {
+                lost += result.end == exchange_end::lost && result.malformed ? 1 : 0;
+                return true;
+            });
+        }
+        while (lost < 8) {
+            context.restart();
+            context.run_for(1ms);
+            most = std::max(most, client.body_bytes());
+        }
+        CPPUNIT_ASSERT(most <= 17U << 20U);
+    }
+
     /// Each body is within its own limit, but together they would exceed the memory limit.
     void responses_share_a_memory_limit() {
         net::asio::io_context context{1};
--- a/src/libbalsampost_entry/key_service.cpp
+++ b/src/libbalsampost_entry/key_service.cpp
@@ -386,9 +386,10 @@
         if (result.refused) {
             self->note_refusal(a.to);
         }
-        const auto handover = result.reply.headers[self->m_platform.headers().handover];
-        self->m_coordinator.release_ended(a.order, outcome, std::string(handover.data(), handover.size()),
-                                          now());
+        const auto text = result.reply.headers[self->m_platform.headers().handover];
+        // Without a readable handover the next owner starts without the data, as after a crash.
+        const auto handover = self->m_platform.decode_handover({text.data(), text.size()});
+        self->m_coordinator.release_ended(a.order, outcome, handover.value_or(""), now());
         self->step();
         return true;
     });
--- a/src/libbalsampost_entry/peer_exchange.cpp
+++ b/src/libbalsampost_entry/peer_exchange.cpp
@@ -1,10 +1,9 @@
 // The datagram socket between instances and its two message types.
 #include "balsampost/entry/peer_exchange.h"
 
+#include "balsampost/net/unpack.h"
 #include "balsampost/telemetry/log.h"
 
-#include <msgpack.hpp>
-
 #include <map>
 
 namespace balsampost::entry {
@@ -68,7 +67,8 @@
 
 core::result<core::key_table> unpack_table(const std::string& bytes) {
     try {
-        const auto in = msgpack::unpack(bytes.data(), bytes.size()).get().as<packed_table>();
+        std::size_t offset = 0;
+        const auto in = net::unpack_value(bytes, offset).get().as<packed_table>();
         core::key_table table;
         table.term = in.term;
         table.last_fence = in.last_fence;
@@ -83,6 +83,9 @@
             servers.push_back({id, started_ms});
         }
         for (const auto& [from, size, owner, fence, previous] : in.ranges) {
+            if (from >= core::key_count || size == 0 || size > core::key_count - from) {
+                return core::fail(core::error_code::protocol, "a key range is out of bounds");
+            }
             core::key_range run{from, from + size - 1, servers.at(owner), fence, {}};
             for (const auto index : previous) {
                 run.previous.push_back(servers.at(index));
@@ -119,8 +122,9 @@
 void peer_exchange::received(std::size_t size) {
     try {
         std::size_t offset = 0;
-        const auto type = msgpack::unpack(m_buffer.data(), size, offset).get().as<std::uint8_t>();
-        const auto message = msgpack::unpack(m_buffer.data(), size, offset);
+        const std::string_view bytes(m_buffer.data(), size);
+        const auto type = net::unpack_value(bytes, offset).get().as<std::uint8_t>();
+        const auto message = net::unpack_value(bytes, offset);
         const core::endpoint from{m_from.address().to_string(), m_from.port()};
         if (type == static_cast<std::uint8_t>(message_type::report)) {
             m_handlers.on_report(message.get().as<peer_report>(), from);
