--- a/src/libbalsampost_entry/traffic_state.cpp
+++ b/src/libbalsampost_entry/traffic_state.cpp
@@ -10,6 +10,16 @@
 // Used for this instance's share of common limits until the number of instances is known.
 constexpr std::uint32_t assumed_instances = 12;
 
+// Part of the time for which requests may still reach a leaving server; the rest is for their way there.
+constexpr int draining_owner_percent = 75;
+constexpr int percent = 100;
+
+core::selection_settings selection_settings_of(const bound_settings& bounds) {
+    core::selection_settings out;
+    out.draining_owner_period = bounds.leaving_time * draining_owner_percent / percent;
+    return out;
+}
+
 } // namespace
 
 traffic_state::traffic_state(const settings& s) : m_settings(s), m_instances(assumed_instances) {}
@@ -24,17 +34,19 @@
             const core::repeat_limits limits{m_settings.bounds.repeat_permille / 1000.0,
                                              static_cast<double>(m_settings.bounds.repeat_slack),
                                              m_settings.bounds.repeat_window};
-            found = m_services
-                        .emplace(name, service_state{core::server_pool({}, m_settings.instance.failure_domain,
-                                                                       m_settings.regions),
-                                                     core::repeat_budget(limits),
-                                                     {},
-                                                     {},
-                                                     nullptr,
-                                                     service.keyed,
-                                                     {},
-                                                     core::never})
-                        .first;
+            found =
+                m_services
+                    .emplace(name, service_state{core::server_pool(selection_settings_of(m_settings.bounds),
+                                                                   m_settings.instance.failure_domain,
+                                                                   m_settings.regions),
+                                                 core::repeat_budget(limits),
+                                                 {},
+                                                 {},
+                                                 nullptr,
+                                                 service.keyed,
+                                                 {},
+                                                 core::never})
+                    .first;
         }
         found->second.keyed = service.keyed;
     }
