entry: an answer to an order counts only if it is certainly that order's

Cause: orders bore no id, so nothing told their answers apart on a kept connection.

Change: order_client sends an id with each order. An answer counts if it echoes the id, or, without any id, as the first one of its connection; servers that echo none get a connection for each order, of which the latest stays open as a sign of life. Anything else is an unknown outcome.

--- a/src/include/balsampost/entry/key_service.h
+++ b/src/include/balsampost/entry/key_service.h
@@ -5,6 +5,7 @@
 #include "balsampost/core/key_coordinator.h"
 #include "balsampost/entry/entry_metrics.h"
 #include "balsampost/entry/http_client.h"
+#include "balsampost/entry/order_client.h"
 #include "balsampost/entry/peer_exchange.h"
 #include "balsampost/entry/platform.h"
 #include "balsampost/entry/timers.h"
@@ -66,11 +67,13 @@
     void probe(const std::string& server_id);
     void note_refusal(const core::incarnation& server);
     void tenure_received(const store_result<std::optional<stored_object>>& answer);
-    exchange_request order_request(const std::string& server, const core::endpoint& at,
-                                   const encoded_call& call) const;
+    /// Logs and counts the end of an order.
+    void order_ended(const char* order, const core::incarnation& to, core::shard_key from,
+                     core::shard_key last, std::uint64_t fence, const order_result& result);
 
     platform& m_platform;
-    http_client& m_orders;
+    http_client& m_probes;
+    order_client m_orders;
     timers& m_timers;
     entry_metrics& m_metrics;
     std::string m_service;
--- a/src/libbalsampost_entry/key_service.cpp
+++ b/src/libbalsampost_entry/key_service.cpp
@@ -1,6 +1,7 @@
 // Orders, probes and store calls of a coordinator.
 #include "balsampost/entry/key_service.h"
 
+#include "balsampost/core/identity.h"
 #include "balsampost/telemetry/log.h"
 
 #include <algorithm>
@@ -14,9 +15,6 @@
 
 namespace {
 
-constexpr unsigned status_ok = 200;
-constexpr unsigned status_conflict = 409;
-constexpr unsigned status_misdirected = 421;
 // A server answers a release when its requests for the released keys have completed.
 constexpr core::milliseconds release_timeout{1'500};
 constexpr core::milliseconds probe_timeout{200};
@@ -43,24 +41,6 @@
     return write_outcome::unknown;
 }
 
-order_outcome outcome_of(const exchange_result& result) {
-    switch (result.end) {
-    case exchange_end::not_sent:
-        return order_outcome::not_sent;
-    case exchange_end::lost:
-        return order_outcome::unknown;
-    case exchange_end::answered:
-        break;
-    }
-    if (result.reply.status == status_misdirected) {
-        // Another server has taken over the address; the intended one did not receive the order.
-        return order_outcome::not_sent;
-    }
-    return result.reply.status == status_ok         ? order_outcome::done
-           : result.reply.status == status_conflict ? order_outcome::fenced
-                                                    : order_outcome::invalid;
-}
-
 const char* to_string(order_outcome outcome) {
     constexpr const char* names[] = {"done", "fenced", "invalid", "not_sent", "unknown"};
     return names[static_cast<std::size_t>(outcome)];
@@ -71,15 +51,15 @@
 }
 
 void log_order(const char* order, const core::incarnation& to, core::shard_key from, core::shard_key last,
-               std::uint64_t fence, order_outcome outcome, const exchange_result& result) {
-    telemetry::log(outcome == order_outcome::done ? event::key_order : event::order_failed,
+               std::uint64_t fence, const order_result& result) {
+    telemetry::log(result.outcome == order_outcome::done ? event::key_order : event::order_failed,
                    {{"order", order},
                     {"server", to.id},
                     {"from", std::to_string(from)},
                     {"to", std::to_string(last)},
                     {"fence", std::to_string(fence)},
-                    {"outcome", to_string(outcome)},
-                    {"status", std::to_string(result.reply.status)},
+                    {"outcome", to_string(result.outcome)},
+                    {"status", std::to_string(result.status)},
                     {"reason", result.reason}});
 }
 
@@ -96,9 +76,10 @@
 key_service::key_service(platform& adapter, http_client& orders, timers& clock, entry_metrics& metrics,
                          core::coordinator_settings settings, std::string service, std::string incarnation,
                          std::string instance_name, core::endpoint reports_at)
-    : m_platform(adapter), m_orders(orders), m_timers(clock), m_metrics(metrics), m_service(service),
-      m_incarnation(incarnation), m_instance_name(std::move(instance_name)),
-      m_grant_time(settings.order_timeout),
+    : m_platform(adapter), m_probes(orders),
+      m_orders(orders, adapter, std::to_string(core::hash_of(incarnation + "/" + service))), m_timers(clock),
+      m_metrics(metrics), m_service(service), m_incarnation(incarnation),
+      m_instance_name(std::move(instance_name)), m_grant_time(settings.order_timeout),
       m_coordinator(settings, std::move(service), std::move(incarnation), std::move(reports_at), now()) {}
 
 void key_service::update_servers(const std::vector<const core::backend*>& servers) {
@@ -152,7 +133,7 @@
     request.new_connection = true;
     request.connect_only = true;
     request.deadline = now() + probe_timeout;
-    m_orders.start(a.at, std::move(request),
+    m_probes.start(a.at, std::move(request),
                    [self = shared_from_this(), server = a.to](exchange_result& result) {
                        self->m_probing.erase(server.id);
                        if (result.refused) {
@@ -334,17 +315,6 @@
                              });
 }
 
-exchange_request key_service::order_request(const std::string& server, const core::endpoint& at,
-                                            const encoded_call& call) const {
-    exchange_request request;
-    request.head = call.method + " " + call.target + " HTTP/1.1\r\nHost: " + core::to_string(at) + "\r\n" +
-                   m_platform.headers().expected_server + ": " + server +
-                   "\r\nContent-Type: " + call.content_type +
-                   "\r\nContent-Length: " + std::to_string(call.body.size()) + "\r\n\r\n";
-    request.body = std::make_shared<const std::string>(call.body);
-    return request;
-}
-
 void key_service::execute(const core::send_grant& a) {
     if (!leads()) { // The tenure may have expired while earlier orders of this step were sent.
         m_coordinator.grant_ended(a.order, order_outcome::not_sent, now());
@@ -358,41 +328,33 @@
         step();
         return;
     }
-    auto request = order_request(a.to.id, a.at, m_platform.encode(a));
-    request.deadline = now() + m_grant_time;
-    m_orders.start(a.at, std::move(request), [self = shared_from_this(), a](exchange_result& result) {
-        const auto outcome = outcome_of(result);
-        self->m_metrics.order(outcome == order_outcome::done);
-        if (outcome == order_outcome::done) {
-            self->m_contacted.insert(a.to);
-        }
-        log_order("grant", a.to, a.from, a.last, a.fence, outcome, result);
-        if (result.refused) {
-            self->note_refusal(a.to);
-        }
-        self->m_coordinator.grant_ended(a.order, outcome, now());
-        self->step();
-        return true;
-    });
+    m_orders.send(a.to.id, a.at, m_platform.encode(a), now() + m_grant_time,
+                  [self = shared_from_this(), a](const order_result& result) {
+                      if (result.outcome == order_outcome::done) {
+                          self->m_contacted.insert(a.to);
+                      }
+                      self->order_ended("grant", a.to, a.from, a.last, a.fence, result);
+                      self->m_coordinator.grant_ended(a.order, result.outcome, now());
+                      self->step();
+                  });
 }
 
 void key_service::execute(const core::send_release& a) {
-    auto request = order_request(a.to.id, a.at, m_platform.encode(a));
-    request.deadline = now() + release_timeout;
-    m_orders.start(a.at, std::move(request), [self = shared_from_this(), a](exchange_result& result) {
-        const auto outcome = outcome_of(result);
-        self->m_metrics.order(outcome == order_outcome::done);
-        log_order("release", a.to, a.from, a.last, a.fence, outcome, result);
-        if (result.refused) {
-            self->note_refusal(a.to);
-        }
-        const auto text = result.reply.headers[self->m_platform.headers().handover];
-        // Without a readable handover the next owner starts without the data, as after a crash.
-        const auto handover = self->m_platform.decode_handover({text.data(), text.size()});
-        self->m_coordinator.release_ended(a.order, outcome, handover.value_or(""), now());
-        self->step();
-        return true;
-    });
+    m_orders.send(a.to.id, a.at, m_platform.encode(a), now() + release_timeout,
+                  [self = shared_from_this(), a](const order_result& result) {
+                      self->order_ended("release", a.to, a.from, a.last, a.fence, result);
+                      self->m_coordinator.release_ended(a.order, result.outcome, result.handover, now());
+                      self->step();
+                  });
+}
+
+void key_service::order_ended(const char* order, const core::incarnation& to, core::shard_key from,
+                              core::shard_key last, std::uint64_t fence, const order_result& result) {
+    m_metrics.order(result.outcome == order_outcome::done);
+    log_order(order, to, from, last, fence, result);
+    if (result.refused) {
+        note_refusal(to);
+    }
 }
 
 } // namespace balsampost::entry
