entry: bodies in chunks count by the memory that they take

Ten uploads of 32 MB in chunks at once took a process over the memory of its machine: the platform killed it, and eight requests in flight there were cut (LOST).

Cause: a body of unknown length was accounted with 16 KB when its head arrived, and nothing was added as it grew.

Change: what is read of a body is accounted as it grows; an upload for which all bodies together would exceed their third of the memory is refused with 503 and Retry-After, since it has not been passed on.

Test: caller_listener_test::bodies_in_chunks_count_by_their_size; before, no upload was refused however much had arrived.

--- a/src/include/balsampost/entry/caller_listener.h
+++ b/src/include/balsampost/entry/caller_listener.h
@@ -33,6 +33,8 @@
     std::size_t connection_count() const { return m_sessions.size(); }
     /// Connections with a request that was read and not yet answered.
     std::size_t in_flight() const;
+    /// Memory accounted for bodies.
+    std::uint64_t body_bytes() const { return m_body_bytes; }
 
 private:
     friend class caller_session;
--- a/src/include/balsampost/entry/caller_session.h
+++ b/src/include/balsampost/entry/caller_session.h
@@ -63,6 +63,7 @@
     void parse();
     bool parse_next();
     bool on_header();
+    bool reserve_body(std::uint64_t size);
     void send_pending_continue();
     void reject(net::error_code ec);
     void on_request();
--- a/src/libbalsampost_entry/caller_listener_test.cpp
+++ b/src/libbalsampost_entry/caller_listener_test.cpp
@@ -90,6 +90,7 @@
     CPPUNIT_TEST(requests_in_flight_at_shutdown_are_answered);
     CPPUNIT_TEST(late_requests_during_shutdown_are_refused);
     CPPUNIT_TEST(request_of_a_disconnected_caller_is_not_forwarded);
+    CPPUNIT_TEST(bodies_in_chunks_count_by_their_size);
     CPPUNIT_TEST_SUITE_END();
 
     /// Guards against closing a caller's connection without an answer at shutdown when a full server never
@@ -117,6 +118,41 @@
         CPPUNIT_ASSERT_EQUAL(1, i.server.requests());
     }
 
+    /// Guards against uploads in chunks that take more memory than the machine has: nothing tells their
+    /// length before they have arrived.
+    void bodies_in_chunks_count_by_their_size() {
+        stopping_instance i({"silence"});
+        i.config.resources.memory_mb = 32; // Bodies may take a third of it.
+        constexpr std::uint64_t max_bytes = (32U << 20U) / 3;
+        constexpr std::size_t upload_bytes = 7U << 20U;
+        const std::string head =
+            "POST /x HTTP/1.1\r\nHost: h\r\nRequest-Id: req-1\r\nTransfer-Encoding: chunked\r\n\r\n";
+        const auto unfinished = head + "700000\r\n" + std::string(upload_bytes, 'x');
+        const auto upload = [&] {
+            auto socket = std::make_shared<net::tcp::socket>(i.context);
+            socket->connect({net::asio::ip::make_address("127.0.0.1"), i.callers.port()});
+            net::asio::async_write(*socket, net::asio::buffer(unfinished), [socket](auto, auto) {});
+            return socket;
+        };
+        const auto first = upload();
+        i.run_until([&] { return i.callers.body_bytes() >= upload_bytes; });
+        const auto second = upload();
+        std::string text;
+        bool ended = false;
+        net::asio::async_read(*second, net::asio::dynamic_buffer(text), [&](auto, auto) { ended = true; });
+        const auto give_up = now() + 10s;
+        i.run_until([&] { return ended || now() > give_up; });
+        fprintf(stderr, "DBG ended %d bytes %lu conns %zu text %s\n", ended, i.callers.body_bytes(),
+                i.callers.connection_count(), text.substr(0, 60).c_str());
+        second->close(); // Ends the read, which uses local variables.
+        i.run_until([&] { return ended; });
+        CPPUNIT_ASSERT_MESSAGE(text, text.starts_with("HTTP/1.1 503"));
+        CPPUNIT_ASSERT(text.find("Retry-After: ") != std::string::npos);
+        CPPUNIT_ASSERT(i.callers.body_bytes() >= upload_bytes && i.callers.body_bytes() <= max_bytes);
+        net::asio::write(*first, net::asio::buffer(std::string("\r\n0\r\n\r\n")));
+        i.run_until([&] { return i.server.requests() > 0; }); // The first upload is complete and sent on.
+    }
+
     void late_requests_during_shutdown_are_refused() {
         stopping_instance i({"silence"});
         i.callers.begin_stop();
--- a/src/libbalsampost_entry/caller_session.cpp
+++ b/src/libbalsampost_entry/caller_session.cpp
@@ -23,7 +23,7 @@
 constexpr std::size_t max_unparsed_bytes = 64U << 10U; // Received ahead of unanswered requests.
 constexpr std::size_t max_pipelined_requests = 16;     // Unanswered requests of one connection.
 constexpr std::size_t max_idle_capacity = 4U << 10U;   // Bytes that an empty buffer may keep allocated.
-constexpr std::uint64_t unknown_body_bytes = 16U << 10U; // Accounted for a body of unknown length.
+constexpr std::uint64_t unknown_body_bytes = 16U << 10U; // First accounted for a body of unknown length.
 constexpr unsigned status_ok = 200;
 constexpr unsigned status_no_content = 204;
 constexpr unsigned status_not_modified = 304;
@@ -280,6 +280,9 @@
     if (!m_header_parsed && m_parser->is_header_done() && !on_header()) {
         return false;
     }
+    if (m_header_parsed && !reserve_body(m_parser->get().body().capacity())) {
+        return false;
+    }
     if (m_parser->is_done()) {
         on_request();
         return true;
@@ -295,15 +298,9 @@
     }
     start_timer(body_timeout);
     const auto length = m_parser->content_length();
-    const auto expected = length ? *length : unknown_body_bytes;
-    const auto max_body_bytes =
-        (static_cast<std::uint64_t>(m_owner.m_settings.resources.memory_mb) << 20U) / body_memory_divisor;
-    if (m_owner.m_body_bytes + expected > max_body_bytes) {
-        answer_and_close(status_unavailable, memory_full_retry_after);
+    if (!reserve_body(length ? *length : unknown_body_bytes)) {
         return false;
     }
-    m_owner.m_body_bytes += expected;
-    m_reserved_bytes = expected;
     if (net::beast::iequals(m_parser->get()[http::field::expect], "100-continue")) {
         m_continue_pending = true;
         send_pending_continue();
@@ -311,6 +308,24 @@
     return true;
 }
 
+/// Raises the memory accounted for the message being read to `size`. Returns false if the request was refused
+/// because all bodies together exceed their share of the memory.
+bool caller_session::reserve_body(std::uint64_t size) {
+    if (size <= m_reserved_bytes) {
+        return true;
+    }
+    const auto max_body_bytes =
+        (static_cast<std::uint64_t>(m_owner.m_settings.resources.memory_mb) << 20U) / body_memory_divisor;
+    if (m_owner.m_body_bytes + (size - m_reserved_bytes) > max_body_bytes) {
+        m_parser.reset(); // Frees what was read of the body.
+        release_bytes(m_reserved_bytes);
+        answer_and_close(status_unavailable, memory_full_retry_after);
+        return false;
+    }
+    m_owner.m_body_bytes += size - std::exchange(m_reserved_bytes, size);
+    return true;
+}
+
 /// Sends 100 Continue only after all earlier answers: a caller would attribute it to an earlier request.
 void caller_session::send_pending_continue() {
     if (m_continue_pending && m_exchanges.empty() && !m_writing) {
