--- a/src/libbalsampost_entry/entry_test.cpp
+++ b/src/libbalsampost_entry/entry_test.cpp
@@ -120,6 +120,8 @@
     CPPUNIT_TEST_SUITE(entry_test);
     CPPUNIT_TEST(outcomes_of_attempts);
     CPPUNIT_TEST(forwarded_request_headers);
+    CPPUNIT_TEST(a_repeated_refusal_refuses_no_other_request);
+    CPPUNIT_TEST(an_answer_that_was_cut_is_not_passed_on);
     CPPUNIT_TEST(unknown_host_or_no_manifest);
     CPPUNIT_TEST(settings_faults_name_section_and_key);
     CPPUNIT_TEST(key_tables_survive_packing);
@@ -189,6 +191,52 @@
         CPPUNIT_ASSERT(std::stoi(out.received.substr(at + 13)) <= 300);
     }
 
+    /// Guards against a refusal that a server sends once more on a kept connection: the caller of the next
+    /// request would be told that it did not run, while the server runs it.
+    void a_repeated_refusal_refuses_no_other_request() {
+        const std::string old_refusal =
+            "HTTP/1.1 503 X\r\nRequest-Id: old\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
+        const std::string nameless = "HTTP/1.1 503 X\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
+        const std::string misdirected_copy = "HTTP/1.1 421 X\r\nRequest-Id: old\r\nContent-Length: 0\r\n\r\n";
+        for (const auto& copy : {old_refusal, nameless, misdirected_copy}) {
+            const auto once = forward({copy, answered}, core::execution_semantics::once);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE("may have run: no second server, and no promise", 502U,
+                                         once.answer.status);
+            CPPUNIT_ASSERT_EQUAL(1, once.requests);
+            const auto safe = forward({copy, answered}, core::execution_semantics::idempotent);
+            CPPUNIT_ASSERT_EQUAL(200U, safe.answer.status);
+            const auto spent = forward({copy, copy}, core::execution_semantics::idempotent);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE("it may have run, so no 503", 502U, spent.answer.status);
+        }
+        // The same with a refusal's copy on the connection on which the first request was answered.
+        const auto first = forward({shed, shed}, core::execution_semantics::once);
+        CPPUNIT_ASSERT_EQUAL(503U, first.answer.status);
+    }
+
+    /// Guards against a success with an empty or short body, framed as whole, for an answer that the server
+    /// cut at any byte by closing or resetting the connection.
+    void an_answer_that_was_cut_is_not_passed_on() {
+        const std::string with_length =
+            "HTTP/1.1 200 OK\r\nRequest-Id: req-1\r\nIntegrity: x\r\nContent-Length: 2\r\n\r\nok";
+        const std::string in_chunks = "HTTP/1.1 200 OK\r\nRequest-Id: req-1\r\nIntegrity: x\r\n"
+                                      "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n";
+        for (const auto& whole : {with_length, in_chunks}) {
+            for (std::size_t n = 1; n < whole.size(); ++n) {
+                const auto cut = forward({whole.substr(0, n) + "|close"}, core::execution_semantics::once);
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(whole.substr(0, n), 502U, cut.answer.status);
+            }
+            CPPUNIT_ASSERT_EQUAL(200U,
+                                 forward({whole + "|close"}, core::execution_semantics::once).answer.status);
+        }
+        // Without a length only the end of the connection ends the body: a cut in the head is seen, later the
+        // server's signature has to tell.
+        const std::string head = "HTTP/1.1 200 OK\r\nRequest-Id: req-1\r\nIntegrity: x\r\n\r\n";
+        for (std::size_t n = 1; n < head.size(); ++n) {
+            const auto cut = forward({head.substr(0, n) + "|close"}, core::execution_semantics::once);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(head.substr(0, n), 502U, cut.answer.status);
+        }
+    }
+
     void unknown_host_or_no_manifest() {
         CPPUNIT_ASSERT_EQUAL(404U,
                              forward({answered}, core::execution_semantics::once, "elsewhere").answer.status);
--- a/src/libbalsampost_entry/forwarding.cpp
+++ b/src/libbalsampost_entry/forwarding.cpp
@@ -183,7 +183,9 @@
     request.head = request_head(backend, std::chrono::duration_cast<core::milliseconds>(m_deadline - sent));
     request.body = m_request.body;
     request.is_head = m_request.method == "HEAD";
-    request.new_connection = !m_route->idempotent();
+    // A server may send an earlier answer of a kept connection once more. Its id tells it apart, unless the
+    // same request was sent there before, or has no id.
+    request.new_connection = !m_route->idempotent() || id().empty() || (m_key && m_delivered_attempts > 0);
     request.deadline = m_deadline + orphaned_exchange_time;
     if (m_context.client.connections_to(backend.address) >= service->pool.connection_share()) {
         // Idle connections count towards the server's limit: close them to make place for a new one.
--- a/src/libbalsampost_entry/http_client.cpp
+++ b/src/libbalsampost_entry/http_client.cpp
@@ -233,11 +233,13 @@
             return;
         }
         if (ec == net::asio::error::eof) {
-            // The parser would accept an end of stream before the first byte as a complete message.
-            const bool begun = m_parser->got_some();
+            // Only a body without a length may end with its connection. The parser must not be told of an end
+            // before the first byte: it requires one.
             error_code finished;
-            m_parser->put_eof(finished);
-            if (begun && !finished && m_parser->is_done()) {
+            if (m_parser->is_header_done()) {
+                m_parser->put_eof(finished);
+            }
+            if (m_parser->is_header_done() && !finished && m_parser->is_done()) {
                 complete(false);
             } else {
                 fail("the response ended early", false);
