core: a tenure is not taken by a record older than the revision that it is written under

An instance that had read 'free' and then heard of a later revision from the new holder raised the revision but kept the record: its takeover would have passed the store's condition, and two instances would have coordinated the keys.

Change: the record is read again, after the instance's own delay, before the tenure can be written.

--- a/src/include/balsampost/core/key_coordinator.h
+++ b/src/include/balsampost/core/key_coordinator.h
@@ -321,6 +321,8 @@
     bool is_cleared(const incarnation& previous, const key_range& range, const range_state& s,
                     time_point now) const;
     bool all_previous_cleared(const key_range& range, const range_state& s, time_point now) const;
+    /// Whether the tenure has no holder by the record read last.
+    bool is_free() const;
     /// Requests a step at `at` or earlier.
     void schedule_step(time_point at) { m_next_due = std::min(m_next_due, at); }
     /// Updates the possible holds after grant `order` has ended.
--- a/src/libbalsampost_core/key_coordinator_tenure.cpp
+++ b/src/libbalsampost_core/key_coordinator_tenure.cpp
@@ -42,12 +42,22 @@
         return;
     }
     if (revision > m_tenure_revision) {
+        if (is_free()) {
+            // Another instance has taken the tenure since: the record has to be read before it is written.
+            m_tenure_known = false;
+            m_tenure_poll_at = now + m_settings.free_tenure_delay;
+            return;
+        }
         m_tenure_revision = revision;
         m_tenure_first_seen = now;
     }
     m_tenure_poll_at = std::max<time_point>(m_tenure_poll_at, now + m_settings.holder_silence_timeout);
 }
 
+bool key_coordinator::is_free() const {
+    return !m_tenure || m_tenure->holder.empty() || m_ended_instances.contains(m_tenure->holder);
+}
+
 void key_coordinator::tenure_read_failed(time_point now) {
     m_tenure_call_pending = false;
     m_tenure_read_backoff = std::clamp<milliseconds>(2 * m_tenure_read_backoff, m_settings.store_retry_delay,
@@ -172,21 +182,20 @@
         }
         return;
     }
-    const bool is_free =
-        !m_tenure || m_tenure->holder.empty() || m_ended_instances.contains(m_tenure->holder);
+    const bool free = is_free();
     const auto expired_at = m_settings.rules.wait_for_tenure_end
                                 ? m_tenure_first_seen + m_settings.tenure + m_settings.takeover_margin
                                 : m_tenure_first_seen;
     const auto free_takeover_at = m_tenure_first_seen + m_settings.free_tenure_delay;
-    if (is_free && now < free_takeover_at) {
+    if (free && now < free_takeover_at) {
         schedule_step(free_takeover_at);
         return;
     }
-    if ((is_free || now >= expired_at) && now < m_next_takeover_at) {
+    if ((free || now >= expired_at) && now < m_next_takeover_at) {
         schedule_step(m_next_takeover_at);
         return;
     }
-    if (is_free || now >= expired_at) {
+    if (free || now >= expired_at) {
         // The holder may issue orders for the length of the tenure after it sent its last renewal, which was
         // before that renewal was first read here.
         m_previous_authority_until = std::min<time_point>(now, m_tenure_first_seen + m_settings.tenure);
