core, entry: what servers say of themselves in their answers binds the instance that hears it

A leaving server gets no requests without a key from then on, and those for its keys for 75% of drain; a paused one gets none until the end of its pause, and callers are rejected at once with the earliest end if all pause. Only a server's own complete answer to our request counts. The coordinator learns of leaving servers from the instances' reports and moves their keys.

--- a/src/include/balsampost/core/key_coordinator.h
+++ b/src/include/balsampost/core/key_coordinator.h
@@ -306,7 +306,8 @@
     std::vector<key_move> plan(time_point now);
     /// Servers that can own keys, with their capacity.
     std::vector<key_server> owners() const;
-    /// Whether the server is listed, not draining, not ended and not marked lost.
+    /// Whether the server is listed, neither leaving by the list nor by its own word, not ended and not
+    /// marked lost.
     bool can_own(const incarnation& which) const;
     void server_ended(const incarnation& which);
     /// Updates whether a server counts as unreachable from the outcome of an order.
@@ -368,6 +369,8 @@
     };
     /// Servers that did not answer their last order or refused a connection. They are given no further keys.
     std::map<incarnation, unreachable_server> m_unreachable;
+    /// Listed servers that say in their answers that they leave, as instances report.
+    std::set<incarnation> m_leaving;
     service_time_estimates m_service_times;
     time_point m_last_server_added = never;
 
--- a/src/include/balsampost/core/key_load.h
+++ b/src/include/balsampost/core/key_load.h
@@ -30,6 +30,8 @@
     std::vector<std::tuple<std::string, std::uint32_t, std::uint32_t>> service_ms;
     std::vector<std::string> unreachable; ///< Ids of servers that refused a connection.
     std::uint32_t covered_ms = 0;         ///< Time over which the requests were counted; 0 if not known.
+    /// Servers that say in their answers that they leave: id and start.
+    std::vector<std::pair<std::string, std::int64_t>> leaving;
 
     /// Removes the request counts; the service times stay.
     void drop_counts() {
@@ -37,7 +39,7 @@
         unlisted = 0;
     }
 
-    MSGPACK_DEFINE(service, keys, unlisted, service_ms, unreachable, covered_ms);
+    MSGPACK_DEFINE(service, keys, unlisted, service_ms, unreachable, covered_ms, leaving);
 };
 
 /// Limits the counts of one reporter to the time that has passed. Reports that a network partition held up
@@ -76,6 +78,7 @@
     std::uint32_t m_unlisted = 0;
     std::map<std::string, std::pair<std::uint32_t, std::uint32_t>> m_service_ms; // Answers, total time.
     std::set<std::string> m_unreachable;
+    std::set<std::pair<std::string, std::int64_t>> m_leaving;
 };
 
 /// Request rate per key in requests per second. Each key has two exponentially decaying averages: one with a
--- a/src/include/balsampost/core/server_selection.h
+++ b/src/include/balsampost/core/server_selection.h
@@ -5,8 +5,10 @@
 
 #include "balsampost/core/backend_directory.h"
 #include "balsampost/core/manifest.h"
+#include "balsampost/core/server_notices.h"
 
 #include <map>
+#include <memory>
 #include <optional>
 #include <random>
 #include <string>
@@ -84,20 +86,24 @@
     milliseconds expected_latency{0};
     /// If there is no server: time until capacity is expected to be available.
     milliseconds retry_after{0};
+    /// There is no server because those that could serve asked for a pause; it ends after `retry_after`.
+    bool paused = false;
 };
 
 /// The servers of one service and this instance's estimates of them. Not thread-safe.
 class server_pool {
 public:
+    /// `notices`: what servers say of themselves; shared by all pools of an instance.
     server_pool(selection_settings settings, std::string failure_domain,
-                std::map<std::string, std::string> regions);
+                std::map<std::string, std::string> regions,
+                std::shared_ptr<const server_notices> notices = std::make_shared<const server_notices>());
 
     /// Replaces the list of servers. Estimates are kept for incarnations that remain in it.
     /// `max_connections`: connections that one server accepts from all `instances` together.
     void update(const std::vector<const backend*>& servers, std::uint32_t max_connections,
                 std::uint32_t instances);
 
-    /// Chooses among all servers that are neither draining nor backing off.
+    /// Chooses among all servers that neither leave nor pause and that are not backed off from.
     selection choose(const selection_request& request, time_point now, std::mt19937_64& random) const;
     /// Selects `server`, the owner of the request's key, if it is expected to finish in time.
     selection check(const std::string& server, const selection_request& request, time_point now) const;
@@ -157,12 +163,17 @@
     double mean_service_ms() const;
     double max_expected_ms(const state& s, const selection_request& request, time_point now) const;
     bool has_capacity(const state& s, time_point now) const;
+    /// Whether the server leaves, by the list or by its own word.
+    bool leaves(const state& s) const;
+    /// Earliest time at which the server may have reported that it leaves.
+    time_point leaving_since(const state& s) const;
     milliseconds time_until_capacity(const state& s, double expected, double max_expected) const;
 
     selection_settings m_settings;
     std::string m_failure_domain;
     std::map<std::string, std::string> m_regions; // Region by failure domain.
-    std::map<std::string, state> m_servers;       // By id.
+    std::shared_ptr<const server_notices> m_notices;
+    std::map<std::string, state> m_servers; // By id.
     std::uint32_t m_connection_share = 8;
     mutable double m_mean_service_ms = 0; // Cached; 0: must be recomputed.
 };
--- a/src/include/balsampost/entry/entry_metrics.h
+++ b/src/include/balsampost/entry/entry_metrics.h
@@ -23,6 +23,12 @@
 
     void answered(unsigned status, core::milliseconds elapsed);
     void refused() { m_refused.Increment(); }
+    void refused_for_pause() { m_refused_for_pause.Increment(); }
+    /// Listed servers that leave by their own word, and that have asked for a pause which runs.
+    void server_notices(std::size_t leaving, std::size_t paused) {
+        m_leaving_servers.Set(static_cast<double>(leaving));
+        m_paused_servers.Set(static_cast<double>(paused));
+    }
     void failed(unsigned status);
     void attempt_failed(core::attempt_result outcome) {
         m_attempts[static_cast<std::size_t>(outcome)]->Increment();
@@ -57,6 +63,9 @@
     prometheus::Counter& m_keys_moved;
     prometheus::Gauge& m_manifest;
     prometheus::Gauge& m_leads;
+    prometheus::Counter& m_refused_for_pause;
+    prometheus::Gauge& m_leaving_servers;
+    prometheus::Gauge& m_paused_servers;
     prometheus::Histogram& m_latency;
     std::array<prometheus::Counter*, 6> m_attempts{};
 };
--- a/src/include/balsampost/entry/forwarding.h
+++ b/src/include/balsampost/entry/forwarding.h
@@ -62,7 +62,7 @@
     bool may_retry() const;
     void wait_for_owner(std::uint64_t stale_fence);
     void on_deadline();
-    void refuse(const char* reason, core::milliseconds retry_after);
+    void refuse(const char* reason, core::milliseconds retry_after, double min_jitter = 0.8);
     void fail(unsigned status, const char* reason);
     void finish(caller_answer answer);
     std::string request_head(const core::backend& server, core::milliseconds left) const;
--- a/src/include/balsampost/entry/key_service.h
+++ b/src/include/balsampost/entry/key_service.h
@@ -43,6 +43,10 @@
     const core::key_table& table() const { return m_coordinator.effective_table(); }
     /// Sets the action to call when this instance leads and its table has changed.
     void on_table_changed(std::function<void()> action) { m_on_table_changed = std::move(action); }
+    /// Sets the action to call with what a server said of itself in the answer to an order.
+    void on_notice(std::function<void(const core::incarnation&, const core::server_notice&)> action) {
+        m_on_notice = std::move(action);
+    }
     /// Schedules a step of the coordinator after an event that it may act on.
     void step();
     void stop() { m_stopped = true; }
@@ -94,6 +98,7 @@
     bool m_stopped = false;
     bool m_was_leader = false;
     std::function<void()> m_on_table_changed;
+    std::function<void(const core::incarnation&, const core::server_notice&)> m_on_notice;
     /// Version for which m_on_table_changed was last called.
     table_version m_announced_version;
 };
--- a/src/include/balsampost/entry/order_client.h
+++ b/src/include/balsampost/entry/order_client.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "balsampost/core/key_coordinator.h"
+#include "balsampost/core/server_notices.h"
 #include "balsampost/entry/http_client.h"
 #include "balsampost/entry/platform.h"
 
@@ -21,6 +22,8 @@
     std::string reason;
     /// The server refused the connection.
     bool refused = false;
+    /// What the server said of itself.
+    core::server_notice notice;
 };
 
 /// A server may send a second copy of an earlier answer where the answer to an order is expected. An answer
--- a/src/include/balsampost/entry/platform.h
+++ b/src/include/balsampost/entry/platform.h
@@ -102,6 +102,10 @@
     std::string integrity;
     /// Data that a server returns when it releases keys, for their next owner.
     std::string handover;
+    /// Set by a server that leaves.
+    std::string leaving;
+    /// How long a server that turned a request away wants no other.
+    std::string pause;
 };
 
 struct encoded_call {
@@ -123,6 +127,10 @@
     virtual core::result<core::backend> decode_backend(const stored_object& object) const = 0;
     virtual core::result<core::manifest> decode_manifest(const stored_object& object) const = 0;
     virtual std::optional<core::load_report> decode_load(std::string_view text) const = 0;
+    /// Whether the value says that the server leaves.
+    virtual bool decode_leaving(std::string_view text) const = 0;
+    /// Returns the length of a pause that a server asks for, or nothing if the value is malformed.
+    virtual std::optional<core::milliseconds> decode_pause(std::string_view text) const = 0;
     /// Returns the data for the next owner of released keys, or nothing if a server cannot have meant it.
     virtual std::optional<std::string> decode_handover(std::string_view text) const = 0;
     virtual encoded_call encode(const core::send_grant& grant) const = 0;
--- a/src/include/balsampost/entry/traffic_state.h
+++ b/src/include/balsampost/entry/traffic_state.h
@@ -49,6 +49,11 @@
     void directory_changed();
 
     std::shared_ptr<const core::route_index> routes() const { return m_routes; }
+    /// Records what a server said of itself in an answer of its own, and logs what it changes. `source` names
+    /// the kind of answer.
+    void note(const std::string& service, const core::incarnation& server, const core::server_notice& notice,
+              core::time_point now, const char* source);
+    const core::server_notices& notices() const { return *m_notices; }
     /// Records that the server refused a connection.
     void note_unreachable(const std::string& service, const std::string& server);
     service_state* find(const std::string& service);
@@ -65,6 +70,7 @@
     void notify();
 
     const settings& m_settings;
+    std::shared_ptr<core::server_notices> m_notices = std::make_shared<core::server_notices>();
     core::backend_directory m_directory;
     std::shared_ptr<const core::route_index> m_routes; // Null until the first manifest is received.
     std::map<std::string, service_state> m_services;
--- a/src/include/balsampost/telemetry/events.h
+++ b/src/include/balsampost/telemetry/events.h
@@ -52,6 +52,8 @@
     backends_changed = 710,
     backend_unusable = 711,
     backend_connection_refused = 712,
+    server_leaving = 713,
+    server_paused = 714,
     tenure_read = 720,
     key_table_written = 721,
     key_table_in_force = 722,
--- a/src/libbalsampost_core/key_coordinator.cpp
+++ b/src/libbalsampost_core/key_coordinator.cpp
@@ -54,6 +54,7 @@
     }
     m_servers = std::move(next);
     std::erase_if(m_unreachable, [this](const auto& u) { return !m_servers.contains(u.first); });
+    std::erase_if(m_leaving, [this](const incarnation& which) { return !m_servers.contains(which); });
     end_replaced_servers();
 }
 
@@ -157,6 +158,12 @@
 void key_coordinator::report(const key_report& r, time_point now) {
     m_rates.add(r, now);
     m_service_times.add(r);
+    for (const auto& [id, started_ms] : r.leaving) {
+        const incarnation which{id, started_ms};
+        if (m_servers.contains(which) && m_leaving.insert(which).second) {
+            schedule_step(now);
+        }
+    }
 }
 
 void key_coordinator::server_may_have_restarted(const incarnation& which) {
@@ -174,7 +181,8 @@
     const auto found = m_servers.find(which);
     const auto contact = m_unreachable.find(which);
     const bool lost = contact != m_unreachable.end() && contact->second.lost;
-    return found != m_servers.end() && !found->second.draining && !ended(which) && !lost;
+    return found != m_servers.end() && !found->second.draining && !m_leaving.contains(which) &&
+           !ended(which) && !lost;
 }
 
 std::vector<key_server> key_coordinator::owners() const {
--- a/src/libbalsampost_core/key_load.cpp
+++ b/src/libbalsampost_core/key_load.cpp
@@ -19,6 +19,9 @@
 // the work of single requests varies by a multiple.
 constexpr double prior_weight = 4;
 
+// More do not fit into a relay's report.
+constexpr std::size_t max_leaving_servers = 256;
+
 // Credit that a reporter may save up, in multiples of the time that its report covers: datagrams arrive
 // unevenly.
 constexpr int max_credit_reports = 2;
@@ -70,6 +73,7 @@
         sum.second += ms;
     }
     m_unreachable.insert(report.unreachable.begin(), report.unreachable.end());
+    m_leaving.insert(report.leaving.begin(), report.leaving.end());
 }
 
 void report_merger::take(key_report& report, std::size_t max_keys) {
@@ -81,6 +85,10 @@
         report.service_ms.emplace_back(server, sum.first, sum.second);
     }
     report.unreachable.assign(m_unreachable.begin(), m_unreachable.end());
+    report.leaving.assign(m_leaving.begin(), m_leaving.end());
+    if (report.leaving.size() > max_leaving_servers) {
+        report.leaving.resize(max_leaving_servers); // The others are reported when these have left.
+    }
     truncate_to_busiest(report, max_keys);
     *this = {};
 }
--- a/src/libbalsampost_core/server_selection.cpp
+++ b/src/libbalsampost_core/server_selection.cpp
@@ -36,8 +36,10 @@
 }
 
 server_pool::server_pool(selection_settings settings, std::string failure_domain,
-                         std::map<std::string, std::string> regions)
-    : m_settings(settings), m_failure_domain(std::move(failure_domain)), m_regions(std::move(regions)) {}
+                         std::map<std::string, std::string> regions,
+                         std::shared_ptr<const server_notices> notices)
+    : m_settings(settings), m_failure_domain(std::move(failure_domain)), m_regions(std::move(regions)),
+      m_notices(std::move(notices)) {}
 
 void server_pool::update(const std::vector<const backend*>& servers, std::uint32_t max_connections,
                          std::uint32_t instances) {
@@ -140,7 +142,20 @@
 bool server_pool::has_capacity(const state& s, time_point now) const {
     const double slots = std::max<std::uint32_t>(s.info.slots, 1);
     return estimated_load(s, now) + 1 <= slots * m_settings.max_load_per_slot &&
-           s.in_flight < m_connection_share;
+           s.in_flight < m_connection_share &&
+           s.in_flight < m_notices->max_in_flight(s.info.self, s.info.slots, now);
+}
+
+bool server_pool::leaves(const state& s) const {
+    return s.info.draining || m_notices->leaving_since(s.info.self) != never;
+}
+
+time_point server_pool::leaving_since(const state& s) const {
+    const auto by_own_word = m_notices->leaving_since(s.info.self);
+    if (!s.info.draining || by_own_word == never) {
+        return s.info.draining ? s.info.draining_since : by_own_word;
+    }
+    return std::min(s.info.draining_since, by_own_word);
 }
 
 milliseconds server_pool::time_until_capacity(const state& s, double expected, double max_expected) const {
@@ -156,14 +171,21 @@
     double best_cost = 0;
     double best_expected = 0;
     auto soonest = max_retry_after;
+    auto pause_ends = time_point::max(); // Of the servers that could serve but for their pause.
+    bool only_paused = true;
     // Jitter keeps instances with equal estimates from all choosing the same server.
     std::uniform_real_distribution<double> jitter(0.95, 1.05);
     for (const auto& [id, s] : m_servers) {
-        if (s.info.draining || now < s.backoff_until ||
+        if (leaves(s) || now < s.backoff_until ||
             std::find(request.excluded_servers.begin(), request.excluded_servers.end(), id) !=
                 request.excluded_servers.end()) {
             continue;
         }
+        if (m_notices->paused(s.info.self, now)) {
+            pause_ends = std::min(pause_ends, m_notices->resumes_at(s.info.self));
+            continue;
+        }
+        only_paused = false;
         const double expected = expected_ms(s, now, true);
         const double max_expected = max_expected_ms(s, request, now);
         if (!has_capacity(s, now) || expected > max_expected) {
@@ -177,6 +199,9 @@
             best_expected = expected;
         }
     }
+    if (best == nullptr && only_paused && pause_ends != time_point::max()) {
+        return {"", milliseconds{0}, std::chrono::ceil<milliseconds>(pause_ends - now), true};
+    }
     if (best == nullptr) {
         return {"", milliseconds{0}, soonest};
     }
@@ -187,11 +212,15 @@
                              time_point now) const {
     const auto found = m_servers.find(server);
     if (found == m_servers.end() || now < found->second.backoff_until ||
-        (found->second.info.draining &&
-         now >= after(found->second.info.draining_since, m_settings.draining_owner_period))) {
+        (leaves(found->second) &&
+         now >= after(leaving_since(found->second), m_settings.draining_owner_period))) {
         return {"", milliseconds{0}, min_retry_after};
     }
     const auto& s = found->second;
+    if (m_notices->paused(s.info.self, now)) {
+        return {"", milliseconds{0},
+                std::chrono::ceil<milliseconds>(m_notices->resumes_at(s.info.self) - now), true};
+    }
     const double expected = expected_ms(s, now, false);
     const double max_expected = max_expected_ms(s, request, now);
     if (!has_capacity(s, now) || expected > max_expected) {
--- a/src/libbalsampost_entry/entry.cpp
+++ b/src/libbalsampost_entry/entry.cpp
@@ -157,6 +157,11 @@
             runner = std::make_shared<key_service>(
                 *m_platform, m_order_client, m_timers, m_metrics, coordinator_settings_of(m_settings), name,
                 m_incarnation_id, m_settings.instance.name, m_settings.listen.peers);
+            runner->on_notice([this, name = name](const auto& server, core::server_notice notice) {
+                notice.pause.reset(); // Orders are no requests of callers: without renewals the server loses
+                                      // its keys.
+                m_state.note(name, server, notice, now(), "order");
+            });
             runner->on_table_changed([this, name = name] {
                 const auto& own = m_key_services[name];
                 auto& view = m_service_views[name];
--- a/src/libbalsampost_entry/entry_metrics.cpp
+++ b/src/libbalsampost_entry/entry_metrics.cpp
@@ -62,6 +62,13 @@
       m_manifest(gauge(*m_registry, "balsampost_manifest_version", "Version of the manifest in force")),
       m_leads(
           gauge(*m_registry, "balsampost_coordinates", "1 while this instance coordinates a keyed service")),
+      m_refused_for_pause(counters(*m_registry, "balsampost_refused_for_pause_total",
+                                   "Requests refused because all servers for them asked for a pause")
+                              .Add({})),
+      m_leaving_servers(gauge(*m_registry, "balsampost_servers_leaving",
+                              "Listed servers that say in their answers that they leave")),
+      m_paused_servers(gauge(*m_registry, "balsampost_servers_paused",
+                             "Listed servers that asked this instance for a pause that runs")),
       m_latency(prometheus::BuildHistogram()
                     .Name("balsampost_answer_seconds")
                     .Help("From the request to the answer")
--- a/src/libbalsampost_entry/entry_updates.cpp
+++ b/src/libbalsampost_entry/entry_updates.cpp
@@ -38,6 +38,7 @@
 // Doubled while the store does not answer, up to the maximum.
 constexpr core::milliseconds initial_table_read_delay{600};
 constexpr core::milliseconds max_table_read_delay{2'400};
+constexpr std::size_t max_report_leaving = 64;
 constexpr std::size_t max_report_keys = 256; // In the report of one instance.
 // In the merged report of a relay; more do not fit into a datagram.
 constexpr std::size_t max_merged_keys = 2'000;
@@ -115,6 +116,22 @@
     }
     report.unreachable.assign(service.unreachable.begin(), service.unreachable.end());
     service.unreachable.clear();
+    std::size_t paused = 0;
+    std::size_t leaving = 0;
+    for (const auto& [id, b] : m_state.directory().entries()) {
+        if (m_state.notices().size() == 0) {
+            break;
+        }
+        paused += m_state.notices().paused(b.self, now()) ? 1 : 0;
+        if (m_state.notices().leaving_since(b.self) == core::never) {
+            continue;
+        }
+        ++leaving;
+        if (b.service == name && !b.draining && report.leaving.size() < max_report_leaving) {
+            report.leaving.emplace_back(b.self.id, b.self.started_ms);
+        }
+    }
+    m_metrics.server_notices(leaving, paused);
     return report;
 }
 
--- a/src/libbalsampost_entry/fakes.h
+++ b/src/libbalsampost_entry/fakes.h
@@ -179,6 +179,10 @@
         return core::manifest{};
     }
     std::optional<core::load_report> decode_load(std::string_view) const override { return std::nullopt; }
+    bool decode_leaving(std::string_view text) const override { return text == "1"; }
+    std::optional<core::milliseconds> decode_pause(std::string_view text) const override {
+        return core::milliseconds{std::atoi(std::string(text).c_str())};
+    }
     std::optional<std::string> decode_handover(std::string_view text) const override {
         return std::string(text);
     }
@@ -187,8 +191,8 @@
 
 private:
     platform_kinds m_kinds;
-    header_names m_names{"Request-Id", "Deadline-Ms", "Shard-Key", "Expected",
-                         "Not-Run",    "Load",        "Integrity", "Handover"};
+    header_names m_names{"Request-Id", "Deadline-Ms", "Shard-Key", "Expected", "Not-Run",
+                         "Load",       "Integrity",   "Handover",  "Leaving",  "Pause-Ms"};
 };
 
 } // namespace balsampost::entry
--- a/src/libbalsampost_entry/forwarding.cpp
+++ b/src/libbalsampost_entry/forwarding.cpp
@@ -2,6 +2,7 @@
 #include "balsampost/entry/forwarding.h"
 
 #include "balsampost/core/admission.h"
+#include "balsampost/entry/answer_notices.h"
 #include "balsampost/entry/entry_metrics.h"
 #include "balsampost/net/http_rules.h"
 #include "balsampost/telemetry/log.h"
@@ -34,6 +35,10 @@
 constexpr std::uint32_t max_unreached_servers = 3;   // Unreachable servers tried per request.
 // A non-idempotent exchange is not aborted: it may stay open this long after the request's deadline.
 constexpr core::milliseconds orphaned_exchange_time{500};
+// Refused callers return after the stated time, multiplied by a random factor. Before the end of a pause that
+// a server asked for, they would be refused again.
+constexpr double max_jitter = 1.4;
+constexpr double min_pause_jitter = 1.0;
 constexpr core::milliseconds min_time_left{10}; // With less time left a server cannot finish a request.
 
 /// Whether callers take `status` as a guarantee that the request did not run and never will.
@@ -160,6 +165,11 @@
     }
     if (choice.server.empty()) {
         m_server = m_key ? service->table->find(*m_key)->owner.id : "";
+        if (choice.paused) {
+            m_context.metrics.refused_for_pause();
+            refuse("the servers asked for a pause", choice.retry_after, min_pause_jitter);
+            return;
+        }
         refuse("no server can finish before the deadline", choice.retry_after);
         return;
     }
@@ -247,6 +257,8 @@
     if (result.end == exchange_end::answered && outcome != attempt_result::broken) {
         load = m_context.adapter.decode_load(view(result.reply.headers[m_context.adapter.headers().load]));
         reusable = true;
+        m_context.state.note(m_service, server.self, notices_in(result.reply, m_context.adapter), at,
+                             "request");
     }
     if (auto* service = m_context.state.find(m_service)) {
         service->pool.attempt_ended(server.self.id, outcome, elapsed, load, at);
@@ -400,13 +412,13 @@
     }
 }
 
-void forwarding::refuse(const char* reason, core::milliseconds retry_after) {
+void forwarding::refuse(const char* reason, core::milliseconds retry_after, double min_jitter) {
     if (m_may_have_run) {
         fail(status_bad_gateway, reason);
         return;
     }
     // Jitter prevents refused callers from retrying all at once.
-    std::uniform_real_distribution<double> jitter(0.8, 1.4);
+    std::uniform_real_distribution<double> jitter(min_jitter, max_jitter);
     const auto after = core::milliseconds(static_cast<std::int64_t>(static_cast<double>(retry_after.count()) *
                                                                     jitter(m_context.state.random())));
     telemetry::log(event::request_refused, {{"request", std::string(id())},
--- a/src/libbalsampost_entry/key_service.cpp
+++ b/src/libbalsampost_entry/key_service.cpp
@@ -352,6 +352,9 @@
                               core::shard_key last, std::uint64_t fence, const order_result& result) {
     m_metrics.order(result.outcome == order_outcome::done);
     log_order(order, to, from, last, fence, result);
+    if (m_on_notice && !result.notice.empty()) {
+        m_on_notice(to, result.notice);
+    }
     if (result.refused) {
         note_refusal(to);
     }
--- a/src/libbalsampost_entry/order_client.cpp
+++ b/src/libbalsampost_entry/order_client.cpp
@@ -1,6 +1,8 @@
 // Identity of the answers to orders.
 #include "balsampost/entry/order_client.h"
 
+#include "balsampost/entry/answer_notices.h"
+
 namespace balsampost::entry {
 
 using core::order_outcome;
@@ -59,6 +61,7 @@
         return out;
     }
     out.outcome = outcome_of(result.reply.status);
+    out.notice = notices_in(result.reply, m_platform);
     // Without a readable handover the next owner starts without the data, as after a crash.
     out.handover =
         m_platform.decode_handover(view(result.reply.headers[m_platform.headers().handover])).value_or("");
--- a/src/libbalsampost_entry/traffic_state.cpp
+++ b/src/libbalsampost_entry/traffic_state.cpp
@@ -1,6 +1,8 @@
 // Updates of the routing state and notification of waiting requests.
 #include "balsampost/entry/traffic_state.h"
 
+#include "balsampost/telemetry/log.h"
+
 #include <algorithm>
 
 namespace balsampost::entry {
@@ -38,7 +40,7 @@
                 m_services
                     .emplace(name, service_state{core::server_pool(selection_settings_of(m_settings.bounds),
                                                                    m_settings.instance.failure_domain,
-                                                                   m_settings.regions),
+                                                                   m_settings.regions, m_notices),
                                                  core::repeat_budget(limits),
                                                  {},
                                                  {},
@@ -93,6 +95,27 @@
     return found == m_services.end() ? nullptr : &found->second;
 }
 
+void traffic_state::note(const std::string& service, const core::incarnation& server,
+                         const core::server_notice& notice, core::time_point now, const char* source) {
+    if (notice.empty()) {
+        return;
+    }
+    const auto change =
+        m_notices->hear(server, notice, now, std::uniform_real_distribution<double>(0, 1)(m_random));
+    if (change.began_leaving) {
+        telemetry::log(telemetry::event::server_leaving,
+                       {{"server", server.id}, {"service", service}, {"source", source}});
+    }
+    if (change.paused_until) {
+        telemetry::log(telemetry::event::server_paused,
+                       {{"server", server.id},
+                        {"service", service},
+                        {"source", source},
+                        {"pause_ms", std::to_string(notice.pause->count())},
+                        {"left_ms", std::to_string(core::milliseconds_between(now, *change.paused_until))}});
+    }
+}
+
 void traffic_state::note_unreachable(const std::string& service, const std::string& server) {
     if (auto* s = find(service)) {
         s->unreachable.insert(server);
--- a/src/libbalsampost_telemetry/events.cpp
+++ b/src/libbalsampost_telemetry/events.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-constexpr std::array<event_info, 49> event_table{{
+constexpr std::array<event_info, 51> event_table{{
     {event::started, severity::info, "started", "the daemon listens on all its addresses"},
     {event::stopping, severity::info, "stopping", "a stop was requested; the graceful shutdown begins"},
     {event::stopped, severity::info, "stopped", "the shutdown is complete"},
@@ -69,6 +69,9 @@
      "an entry of the backend list does not describe a usable server"},
     {event::backend_connection_refused, severity::info, "backend_refuses",
      "a server refused a connection from this instance"},
+    {event::server_leaving, severity::info, "server_leaving", "a server says in an answer that it leaves"},
+    {event::server_paused, severity::info, "server_paused",
+     "a server asks this instance to send it nothing for some time"},
     {event::tenure_read, severity::debug, "tenure_read", "the tenure of a keyed service was read"},
     {event::key_table_written, severity::info, "key_table_written",
      "this instance wrote a version of a key table"},
