--- a/src/libbalsampost_entry/entry_test.cpp
+++ b/src/libbalsampost_entry/entry_test.cpp
@@ -39,6 +39,14 @@
 const char* const continues = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nRequest-Id: ID\r\nIntegrity: "
                               "x\r\nContent-Length: 2\r\n\r\nok";
 
+const char* const huge_keep_alive =
+    "HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nIntegrity: x\r\nKeep-Alive: timeout=9223372036854775807\r\n"
+    "Content-Length: 2\r\n\r\nok";
+
+std::string with_status(const std::string& status) {
+    return "HTTP/1.1 " + status + " X\r\nRequest-Id: ID\r\nIntegrity: x\r\nContent-Length: 2\r\n\r\nno";
+}
+
 struct outcome {
     caller_answer answer;
     int requests = 0;
@@ -157,6 +165,10 @@
             {"a success without the integrity header", no_integrity, 200, 2, 502, 1},
             {"truncated answer", truncated, 200, 2, 502, 1},
             {"not HTTP", garbage, 200, 2, 502, 1},
+            {"a status of 0", with_status("000"), 200, 2, 502, 1},
+            {"a status of 42", with_status("042"), 200, 2, 502, 1},
+            {"a status of 999", with_status("999"), 200, 2, 502, 1},
+            {"an idle timeout that no type holds", huge_keep_alive, 200, 1, 200, 1},
             {"closed without an answer", "close", 200, 2, 502, 1},
             {"reset without an answer", "reset", 200, 2, 502, 1},
             {"no answer before the deadline", "silence", 504, 1, 504, 1},
--- a/src/libbalsampost_entry/forwarding.cpp
+++ b/src/libbalsampost_entry/forwarding.cpp
@@ -83,8 +83,8 @@
     auto limit = m_route->timeout;
     if (const auto given =
             parse_number<std::int64_t>(view(m_request.headers[m_context.adapter.headers().deadline_ms]))) {
-        limit = std::min(limit,
-                         std::max(core::milliseconds{*given} - answer_transit_time, core::milliseconds{0}));
+        const core::milliseconds stated{std::max<std::int64_t>(*given, 0)};
+        limit = std::min(limit, std::max(stated - answer_transit_time, core::milliseconds{0}));
     }
     m_deadline = m_request.arrived + limit;
     m_target_deadline = m_request.arrived + m_route->target_latency;
--- a/src/libbalsampost_entry/http_client.cpp
+++ b/src/libbalsampost_entry/http_client.cpp
@@ -24,6 +24,10 @@
 // byte.
 constexpr std::uint64_t max_framing_bytes = 128U << 10U;
 constexpr std::uint64_t max_framing_per_body_byte = 8;
+constexpr unsigned min_status = 100;
+constexpr unsigned first_final_status = 200;
+constexpr unsigned max_status = 599;
+constexpr long max_idle_seconds = 3'600;  // A longer idle timeout of a server makes no difference.
 constexpr int max_interim_responses = 16; // 1xx responses before the final one.
 constexpr core::milliseconds keep_alive_margin{
     1'000}; // Stop reusing a connection this long before the server's idle timeout.
@@ -292,7 +296,11 @@
             return;
         }
         const auto status = m_parser->get().result_int();
-        if (status >= 100 && status < 200) {
+        if (status < min_status || status > max_status) {
+            fail_malformed("the status " + std::to_string(status) + " is out of range");
+            return;
+        }
+        if (status < first_final_status) {
             if (++m_interim_count > max_interim_responses) {
                 fail_malformed("too many interim responses");
                 return;
@@ -346,6 +354,7 @@
             long seconds = 0;
             const auto* first = text.data() + at + 8;
             if (std::from_chars(first, text.data() + text.size(), seconds).ec == std::errc{}) {
+                seconds = std::clamp(seconds, 0L, max_idle_seconds);
                 allowed = std::min(allowed, core::milliseconds(seconds * 1000) - keep_alive_margin);
             }
         }
