core: the keyed load simulation gains servers that leave or pause by their own word

The bounds follow from what is asked: no forbidden request, no caller the worse for it by more than 0.02.

--- a/src/libbalsampost_core/keyed_load_test.cpp
+++ b/src/libbalsampost_core/keyed_load_test.cpp
@@ -16,6 +16,7 @@
 #include <map>
 #include <memory>
 #include <random>
+#include <set>
 
 namespace balsampost::core {
 
@@ -31,6 +32,9 @@
 constexpr milliseconds max_owner_wait{400};
 constexpr std::uint32_t max_queue = 12;
 constexpr shard_key first_hot_key = 20'000;
+constexpr milliseconds drain{2'000};
+constexpr milliseconds leaving_time{3'000};
+constexpr milliseconds pause_notice_time{500};
 
 /// The load and the service that a run plays.
 struct load_case {
@@ -53,6 +57,13 @@
     bool limits_late_reports = true;
     bool spreads_returns =
         true; // Refused callers return the later, the more are refused; formerly after 350 ms.
+    int leaving_servers =
+        0; // So many say in their answers that they leave, while the list has them as ready, ...
+    milliseconds leaving_from{0};  // ... from then; they end `leaving_time` later.
+    int pausing_servers = 0;       // So many turn all requests away and ask for a pause ...
+    milliseconds pausing_from{0};  // ... from then ...
+    milliseconds pausing_until{0}; // ... until then.
+    bool hears_notices = true;     // Formerly instances passed over what servers say of themselves.
     milliseconds length{20'000};
     milliseconds settled{5'000}; // Requests before then are not counted.
 };
@@ -66,6 +77,8 @@
     double moves = 0;
     double cold = 0; // Requests for keys that are not hot ...
     double cold_in_target = 0;
+    double late_at_leaving = 0; // Requests of an instance over `drain` after a server told it that it leaves.
+    double during_pause = 0;    // Requests of an instance over 0.5 s after a server asked it for a pause.
 
     double total() const { return in_target + late + refused + failed; }
     double share(double part) const { return part / std::max(1.0, total()); }
@@ -93,11 +106,15 @@
             listed.push_back(&o.info);
         }
         for (int i = 0; i < m_case.instances; ++i) {
-            m_pools.emplace_back(selection_settings{}, "a", std::map<std::string, std::string>{});
+            m_notices.push_back(std::make_shared<server_notices>());
+            m_pools.emplace_back(selection_settings{}, "a", std::map<std::string, std::string>{},
+                                 m_notices.back());
             m_pools.back().update(listed, 1'000, 1);
         }
         m_counters.resize(m_pools.size());
         m_credits.resize(m_pools.size());
+        m_heard_leaving.resize(m_pools.size());
+        m_heard_pause.resize(m_pools.size());
         m_table.ranges = {{0, key_count - 1, {}, 0, {}}};
         apply_moves(m_table, initial_owners(planned_servers(policy == placement_policy::known_speeds)));
     }
@@ -136,6 +153,9 @@
     std::vector<key_server> planned_servers(bool true_speeds) const {
         std::vector<key_server> out;
         for (const auto& o : m_owners) {
+            if (m_reported_leaving.contains(o.info.self)) {
+                continue;
+            }
             const double ms = true_speeds ? static_cast<double>(m_case.mean_work.count()) * o.slowness
                                           : m_speeds.service_ms(o.info.self.id, 100);
             out.push_back({o.info.self, m_case.slots * 1000.0 / ms, true});
@@ -196,10 +216,56 @@
         return std::chrono::duration_cast<milliseconds>(sent + limit - m_now);
     }
 
+    bool leaves(std::size_t server) const {
+        return static_cast<int>(server) < m_case.leaving_servers && m_now >= begin + m_case.leaving_from;
+    }
+
+    bool pauses(std::size_t server) const {
+        return static_cast<int>(server) < m_case.pausing_servers && m_now >= begin + m_case.pausing_from &&
+               m_now < begin + m_case.pausing_until;
+    }
+
+    /// Notes when the instance first heard it, for the rules, and lets it hear.
+    void hear(std::size_t i, std::size_t server, const server_notice& notice) {
+        if (notice.leaving) {
+            m_heard_leaving[i].emplace(server, m_now);
+        }
+        if (notice.pause) {
+            m_heard_pause[i].emplace(server, m_now);
+        }
+        if (m_case.hears_notices) {
+            m_notices[i]->hear(m_owners[server].info.self, notice, m_now, uniform());
+        }
+    }
+
+    /// Counts an arrival that one of the two rules forbids.
+    void check_rules(std::size_t i, std::size_t server) {
+        const auto leaving = m_heard_leaving[i].find(server);
+        if (leaving != m_heard_leaving[i].end() && m_now > leaving->second + drain) {
+            m_results.late_at_leaving += 1;
+        }
+        const auto pause = m_heard_pause[i].find(server);
+        if (pause != m_heard_pause[i].end() && pauses(server) && m_now > pause->second + pause_notice_time) {
+            m_results.during_pause += 1;
+        }
+    }
+
     void send(request r, std::size_t i, std::size_t to) {
         auto& o = m_owners[to];
         const auto sent = m_now;
+        check_rules(i, to);
         m_pools[i].attempt_started(o.info.self.id, m_now);
+        if (leaves(to) && m_now >= begin + m_case.leaving_from + leaving_time) {
+            end_attempt(i, o, attempt_result::broken, sent);
+            finish(r, &caller_results::failed);
+            return;
+        }
+        if (pauses(to)) {
+            end_attempt(i, o, attempt_result::refused, sent);
+            hear(i, to, {false, std::chrono::ceil<milliseconds>(begin + m_case.pausing_until - m_now)});
+            refuse(r, retry_after_move);
+            return;
+        }
         if (o.queue.size() >= max_queue) {
             end_attempt(i, o, attempt_result::refused, sent);
             refuse(r, retry_after_move);
@@ -212,6 +278,9 @@
                 auto& server = m_owners[to];
                 --server.running;
                 end_attempt(i, server, attempt_result::answered, sent);
+                if (leaves(to)) {
+                    hear(i, to, {true, std::nullopt});
+                }
                 finish(r, m_now - r.sent <= m_case.target     ? &caller_results::in_target
                           : m_now - r.sent <= m_case.deadline ? &caller_results::late
                                                               : &caller_results::failed);
@@ -269,6 +338,9 @@
             for (const auto& s : m_pools[i].take_samples()) {
                 r.service_ms.emplace_back(s.server, s.answers, static_cast<std::uint32_t>(s.total_ms));
             }
+            for (const auto& server : m_notices[i]->leaving()) {
+                r.leaving.emplace_back(server.id, server.started_ms);
+            }
             if (i % 2 == 0 && m_now >= begin + m_case.cut_from && m_now < begin + m_case.cut_until) {
                 m_events.emplace(begin + m_case.cut_until, [this, i, r] { report_received(i, r); });
             } else {
@@ -284,6 +356,9 @@
         }
         m_rates.add(r, m_now);
         m_speeds.add(r);
+        for (const auto& [id, started_ms] : r.leaving) {
+            m_reported_leaving.insert({id, started_ms});
+        }
     }
 
     void rebalance() {
@@ -296,7 +371,10 @@
         if (m_policy == placement_policy::known_speeds || moving) {
             return;
         }
-        auto moves = fill_new_servers(m_table, servers, m_rates, {});
+        auto moves = reassign_lost(m_table, servers, m_rates);
+        if (moves.empty()) {
+            moves = fill_new_servers(m_table, servers, m_rates, {});
+        }
         if (moves.empty()) {
             moves = spread_hot_ranges(m_table, servers, m_rates, {});
         }
@@ -324,6 +402,10 @@
     key_rates m_rates;
     service_time_estimates m_speeds;
     key_table m_table;
+    std::vector<std::shared_ptr<server_notices>> m_notices;         // One for each instance, as the next two.
+    std::vector<std::map<std::size_t, time_point>> m_heard_leaving; // When a server first said so.
+    std::vector<std::map<std::size_t, time_point>> m_heard_pause;
+    std::set<incarnation> m_reported_leaving;
     std::map<incarnation, double> m_admitted;       // Fractions of the requests to admit.
     std::map<shard_key, time_point> m_moving_until; // By first key of the range.
     caller_results m_results;
@@ -340,10 +422,13 @@
         sum.moves += r.moves;
         sum.cold += r.cold;
         sum.cold_in_target += r.cold_in_target;
+        sum.late_at_leaving += r.late_at_leaving;
+        sum.during_pause += r.during_pause;
     }
     std::cout << " [" << c.name << (policy == placement_policy::planned ? ", planned" : ", known speeds")
               << ": in target " << sum.share(sum.in_target) << " late " << sum.share(sum.late) << " refused "
               << sum.share(sum.refused) << " failed " << sum.share(sum.failed) << " moves " << sum.moves
+              << " late at leaving servers " << sum.late_at_leaving << " during pauses " << sum.during_pause
               << "]";
     return sum;
 }
@@ -355,6 +440,8 @@
     CPPUNIT_TEST(planned_owners_serve_like_known_speeds);
     CPPUNIT_TEST(late_reports_do_not_look_like_a_burst);
     CPPUNIT_TEST(refused_callers_return_when_there_is_room);
+    CPPUNIT_TEST(servers_that_leave_by_their_own_word);
+    CPPUNIT_TEST(servers_that_ask_for_a_pause);
     CPPUNIT_TEST_SUITE_END();
 
     /// The planner learns speeds and loads from reports: it must serve callers about as well as an assignment
@@ -438,6 +525,52 @@
             CPPUNIT_ASSERT(now.share(now.in_target) >= before.share(before.in_target) - 0.01);
         }
     }
+
+    /// Guards against requests that fail at servers which have left: the list had them as ready all the
+    /// while, and only their answers told.
+    void servers_that_leave_by_their_own_word() {
+        load_case heard;
+        heard.name = "leaving, heard";
+        heard.requests_per_s = 200;
+        heard.leaving_servers = 3;
+        heard.leaving_from = milliseconds{8'000};
+        heard.settled = heard.leaving_from;
+        heard.length = milliseconds{14'000};
+        auto passed_over = heard;
+        passed_over.name = "leaving, passed over";
+        passed_over.hears_notices = false;
+        const auto now = play(heard, placement_policy::planned);
+        const auto before = play(passed_over, placement_policy::planned);
+        CPPUNIT_ASSERT_EQUAL(0.0, now.late_at_leaving);
+        CPPUNIT_ASSERT(before.late_at_leaving > 0);
+        CPPUNIT_ASSERT(now.share(now.in_target) > before.share(before.in_target));
+        CPPUNIT_ASSERT(now.share(now.failed) < before.share(before.failed));
+        CPPUNIT_ASSERT(now.share(now.refused) <= before.share(before.refused) + before.share(before.failed));
+    }
+
+    /// Guards against requests at servers that asked for a pause. No other server may have their keys, so
+    /// callers gain nothing; they must not lose either.
+    void servers_that_ask_for_a_pause() {
+        for (const auto length : {milliseconds{1'000}, milliseconds{4'000}}) {
+            load_case heard;
+            heard.name = "pauses, heard";
+            heard.requests_per_s = 200;
+            heard.pausing_servers = 4;
+            heard.pausing_from = milliseconds{6'000};
+            heard.pausing_until = heard.pausing_from + length;
+            heard.settled = heard.pausing_from;
+            heard.length = milliseconds{16'000};
+            auto passed_over = heard;
+            passed_over.name = "pauses, passed over";
+            passed_over.hears_notices = false;
+            const auto now = play(heard, placement_policy::planned);
+            const auto before = play(passed_over, placement_policy::planned);
+            CPPUNIT_ASSERT_EQUAL(0.0, now.during_pause);
+            CPPUNIT_ASSERT(before.during_pause > 0);
+            CPPUNIT_ASSERT(now.share(now.in_target) >= before.share(before.in_target) - 0.02);
+            CPPUNIT_ASSERT(now.share(now.refused) <= before.share(before.refused) + 0.02);
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(keyed_load_test);
