--- a/testsuite/server_notices/run.sh
+++ b/testsuite/server_notices/run.sh
@@ -34,4 +34,4 @@
     "$ENTRY" --config "$RUN_DIR/entry-$n.ini" > "$RUN_DIR/entry-$n.log" 2>&1 &
     pids+=($!)
 done
-"$BIN/balsampost_site/balsampost-site" --store "$STORE" --servers "127.$OCTET.9" --seed "$SEED" "${fronts[@]}" 2> "$RUN_DIR/case.err"
+"$BIN/../platform/site/balsampost-site" --store "$STORE" --servers "127.$OCTET.9" --seed "$SEED" "${fronts[@]}" 2> "$RUN_DIR/case.err"
