--- a/src/libbalsampost_entry/answer_notices_test.cpp
+++ b/src/libbalsampost_entry/answer_notices_test.cpp
@@ -135,10 +135,15 @@
 
     void a_server_that_says_it_leaves_gets_no_more_requests() {
         notice_fixture f(repeated(ok + "Leaving: 1\r\n\r\nok"), repeated(ok + "\r\nok"));
+        std::size_t seen_by_callers = 0;
         for (int i = 0; i < 40; ++i) {
-            CPPUNIT_ASSERT_EQUAL(200U, f.request().status);
+            const auto answer = f.request();
+            CPPUNIT_ASSERT_EQUAL(200U, answer.status);
+            seen_by_callers += answer.headers.count("Leaving");
         }
         CPPUNIT_ASSERT_EQUAL(1, f.one.requests());
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("callers get the server's answer as it is", std::size_t{1},
+                                     seen_by_callers);
         f.list("one", f.one.at()); // The list says ready, again and again.
         f.request();
         CPPUNIT_ASSERT_EQUAL(1, f.one.requests());
