--- a/src/libbalsampost_telemetry/events.cpp
+++ b/src/libbalsampost_telemetry/events.cpp
@@ -9,13 +9,21 @@
 
 namespace {
 
-constexpr std::array<event_info, 51> event_table{{
+constexpr std::array<event_info, 57> event_table{{
     {event::started, severity::info, "started", "the daemon listens on all its addresses"},
     {event::stopping, severity::info, "stopping", "a stop was requested; the graceful shutdown begins"},
     {event::stopped, severity::info, "stopped", "the shutdown is complete"},
     {event::start_failed, severity::error, "start_failed", "the daemon could not start"},
     {event::drain_deadline, severity::warning, "drain_deadline",
      "the shutdown deadline passed with requests still in flight"},
+    {event::listen_retried, severity::warning, "listen_retried",
+     "an address cannot be bound yet; the instance tries again"},
+    {event::limits_in_force, severity::info, "limits_in_force",
+     "descriptors and memory that the process may use"},
+    {event::handler_failed, severity::error, "handler_failed", "an exception reached the event loop"},
+    {event::accept_paused, severity::warning, "accept_paused",
+     "a listener accepts no connection until descriptors are free"},
+    {event::accept_resumed, severity::info, "accept_resumed", "a listener accepts connections again"},
     {event::config_in_force, severity::info, "config_in_force",
      "this instance applies a new version of the configuration objects"},
     {event::config_unusable, severity::error, "config_unusable",
@@ -64,6 +72,8 @@
      "an attempt at a server did not return a usable answer"},
     {event::caller_disconnected, severity::info, "caller_left",
      "a caller closed its connection before the answer"},
+    {event::request_unanswered, severity::warning, "request_unanswered",
+     "a request was read and its connection ended without a whole answer"},
     {event::backends_changed, severity::info, "backends_changed", "the list of backend servers changed"},
     {event::backend_unusable, severity::warning, "backend_unusable",
      "an entry of the backend list does not describe a usable server"},
