entry: listeners and clients keep to their share of the descriptors

With `ulimit -n 256` and 400 idle connections on each listener, readiness, metrics and callers got no answer within 2 s, the store could not be reached (no instance served in 20 s), and the process used 149 of 500 ticks of a loaded machine in 5 s, without a line in the log. The cause: a failed accept (EMFILE) was repeated at once, page connections had neither a bound nor a time limit, and a fixed reserve of 400 is more than all descriptors.

One room for all sockets now tells each use whether it may open another. Callers beyond their share take the place of the connection that has been idle for longest, at least 1 s, or are closed at once without a byte being read, which lets them go elsewhere safely; the backlog is always emptied. Clients close idle connections when they are short; a request for which no socket can be had is answered 503 and its server is not blamed: it was taken for unreachable.

--- a/src/include/balsampost/entry/caller_listener.h
+++ b/src/include/balsampost/entry/caller_listener.h
@@ -1,6 +1,8 @@
 // Accepts callers' connections and closes them in the steps of a graceful shutdown.
 #pragma once
 
+#include "balsampost/entry/accept_loop.h"
+#include "balsampost/entry/descriptor_room.h"
 #include "balsampost/entry/forwarding.h"
 #include "balsampost/entry/settings.h"
 
@@ -14,7 +16,9 @@
 
 class caller_listener {
 public:
-    caller_listener(net::asio::io_context& context, forwarding_context forwarding, const settings& s);
+    /// Without `room` the number of connections has no limit.
+    caller_listener(net::asio::io_context& context, forwarding_context forwarding, const settings& s,
+                    descriptor_room* room = nullptr);
     ~caller_listener();
 
     /// Binds and starts accepting. Throws `boost::system::system_error` if the address cannot be bound.
@@ -29,7 +33,7 @@
     /// Answers every request in flight with an error. Backend servers may still be running some of them.
     void fail_in_flight();
     void close_all();
-    std::uint16_t port() const { return m_acceptor.local_endpoint().port(); }
+    std::uint16_t port() const { return m_accepts.port(); }
     std::size_t connection_count() const { return m_sessions.size(); }
     /// Connections with a request that was read and not yet answered.
     std::size_t in_flight() const;
@@ -38,15 +42,19 @@
 
 private:
     friend class caller_session;
-    void accept();
-    void add_session(net::tcp::socket socket);
-    /// Accepts the connections in the listening socket's queue without blocking.
-    void accept_pending();
+    /// Returns false if there is no room: the connection is closed.
+    bool add_session(net::tcp::socket socket);
+    /// Closes the connection that has been idle for longest, if that is long enough. Returns false if there
+    /// is none.
+    bool close_longest_idle();
 
     net::asio::io_context& m_context;
     forwarding_context m_forwarding;
     const settings& m_settings;
-    net::tcp::acceptor m_acceptor;
+    descriptor_room* m_room;
+    accept_loop m_accepts;
+    /// No connection has been idle for long enough before this time.
+    core::time_point m_none_idle_until = core::never;
     std::set<std::shared_ptr<caller_session>> m_sessions;
     /// Shared by all sessions: a session consumes the bytes before the next read.
     std::vector<char> m_read_buffer;
--- a/src/include/balsampost/entry/caller_session.h
+++ b/src/include/balsampost/entry/caller_session.h
@@ -23,6 +23,8 @@
     /// Whether no request of this connection is in flight or partly read.
     bool idle() const { return !in_flight() && !m_message_started && m_unparsed.empty() && !m_lingering; }
     bool in_flight() const { return !m_exchanges.empty() || m_writing; }
+    /// Since when no request has been in flight; meaningful while idle.
+    core::time_point idle_since() const { return m_idle_since; }
     /// Closes the connection if it is idle. Reads first, so that a request that has arrived is not lost.
     void close_if_idle();
     /// Starts no further request behind one that is not answered yet.
@@ -89,6 +91,7 @@
     std::optional<timers::id> m_timer;
     std::string m_head;
     std::string m_body;
+    core::time_point m_idle_since{};
     core::time_point m_message_started_at{}; // When the first byte of the current message arrived.
     std::uint64_t m_reserved_bytes = 0;      // Accounted for the message being read.
     std::uint64_t m_answer_bytes = 0;        // Accounted for the answer being written.
--- a/src/include/balsampost/entry/entry.h
+++ b/src/include/balsampost/entry/entry.h
@@ -3,6 +3,7 @@
 
 #include "balsampost/core/relay_plan.h"
 #include "balsampost/entry/caller_listener.h"
+#include "balsampost/entry/descriptor_room.h"
 #include "balsampost/entry/entry_metrics.h"
 #include "balsampost/entry/key_service.h"
 #include "balsampost/entry/kind_watch.h"
@@ -86,6 +87,7 @@
     core::time_point m_started;
     net::asio::io_context m_context{1};
     timers m_timers;
+    descriptor_room m_room;
     /// To backend servers, for requests of callers.
     http_client m_client;
     /// To backend servers, for grants and releases.
--- a/src/include/balsampost/entry/http_client.h
+++ b/src/include/balsampost/entry/http_client.h
@@ -32,6 +32,7 @@
     exchange_end end = exchange_end::not_sent;
     http_reply reply;       ///< Set if `end` is `answered`.
     std::string reason;     ///< Error text for the log, unless `answered`.
+    bool no_room = false;   ///< `not_sent` because this process has no descriptor for a connection.
     bool refused = false;   ///< `not_sent` because the connection was refused.
     bool connected = false; ///< Only for `connect_only`: the connection was established.
     bool timed_out = false; ///< `not_sent` or `lost` because of a timeout.
@@ -75,6 +76,9 @@
 
     std::size_t connections_to(const core::endpoint& to) const;
     void close_idle(const core::endpoint& to);
+    /// `has_room` tells whether one more connection may be opened; idle connections are closed to make room.
+    void limit_connections(std::function<bool()> has_room) { m_has_room = std::move(has_room); }
+    std::size_t connection_count() const { return m_connection_count; }
     std::uint64_t connections_opened() const { return m_connections_opened; }
     /// Memory held by bodies of responses that are being read.
     std::uint64_t body_bytes() const { return m_body_bytes; }
@@ -86,12 +90,18 @@
         std::size_t open = 0;
     };
     void release(const std::shared_ptr<http_connection>& connection);
+    /// Closes idle connections until there is room for one more. Returns false if there is none.
+    bool make_room();
+    /// Closes the idle connection that would end first. Returns false if none is idle.
+    bool close_an_idle_one();
     void remove(const core::endpoint& to, const http_connection* connection);
 
     net::asio::io_context& m_context;
     timers& m_timer_queue;
     client_limits m_limits;
     std::map<core::endpoint, target> m_targets;
+    std::function<bool()> m_has_room;
+    std::size_t m_connection_count = 0;
     std::uint64_t m_connections_opened = 0;
     std::uint64_t m_body_bytes = 0;
 };
--- a/src/include/balsampost/entry/page_server.h
+++ b/src/include/balsampost/entry/page_server.h
@@ -2,9 +2,13 @@
 #pragma once
 
 #include "balsampost/core/ini.h"
-#include "balsampost/net/asio.h"
+#include "balsampost/core/process_limits.h"
+#include "balsampost/entry/accept_loop.h"
+#include "balsampost/entry/descriptor_room.h"
 
 #include <functional>
+#include <list>
+#include <memory>
 #include <string>
 
 namespace balsampost::entry {
@@ -15,20 +19,31 @@
     std::string body;
 };
 
+class page_session;
+
+/// Keeps to the reserve of its use: a new connection takes the place of the one that has been silent for
+/// longest.
 class page_server {
 public:
-    page_server(net::asio::io_context& context, std::function<page()> render)
-        : m_acceptor(context), m_render(std::move(render)) {}
+    page_server(net::asio::io_context& context, descriptor_room& room, core::descriptor_use use,
+                std::string name, std::function<page()> render);
+    ~page_server();
 
     /// Throws `boost::system::system_error` if the address cannot be bound.
     void start(net::asio::io_context& context, const core::endpoint& at);
-    void stop();
+    void stop() { m_accepts.close(); }
+    std::uint16_t port() const { return m_accepts.port(); }
+    std::size_t connection_count() const { return m_sessions.size(); }
 
 private:
-    void accept();
+    friend class page_session;
+    void add_session(net::tcp::socket socket);
 
-    net::tcp::acceptor m_acceptor;
+    accept_loop m_accepts;
+    std::size_t m_max_sessions;
     std::function<page()> m_render;
+    /// The one that was last heard of is the last.
+    std::list<std::shared_ptr<page_session>> m_sessions;
 };
 
 } // namespace balsampost::entry
--- a/src/libbalsampost_entry/caller_listener.cpp
+++ b/src/libbalsampost_entry/caller_listener.cpp
@@ -2,67 +2,69 @@
 #include "balsampost/entry/caller_listener.h"
 
 #include "balsampost/entry/caller_session.h"
-#include "balsampost/telemetry/log.h"
 
 #include <algorithm>
 
 namespace balsampost::entry {
 
 using net::error_code;
-using telemetry::event;
 
 namespace {
 
-constexpr std::uint32_t reserved_descriptors = 400; // For connections to servers, the store and peers.
+// A connection that had a request less than this time ago is likely to get another.
+constexpr core::milliseconds min_idle_time{1'000};
+constexpr core::milliseconds idle_search_interval{50}; // Bounds the searches while callers are refused.
 
 } // namespace
 
 caller_listener::caller_listener(net::asio::io_context& context, forwarding_context forwarding,
-                                 const settings& s)
-    : m_context(context), m_forwarding(forwarding), m_settings(s), m_acceptor(context) {}
+                                 const settings& s, descriptor_room* room)
+    : m_context(context), m_forwarding(forwarding), m_settings(s), m_room(room),
+      m_accepts(context, "callers") {
+    if (m_room != nullptr) {
+        m_room->count(core::descriptor_use::callers, [this] { return m_sessions.size(); });
+    }
+}
 
 caller_listener::~caller_listener() = default;
 
 void caller_listener::start() {
-    m_acceptor = net::listen_on(m_context, m_settings.listen.callers);
-    accept();
+    m_accepts.start(
+        m_context, m_settings.listen.callers,
+        [this](net::tcp::socket socket) { return add_session(std::move(socket)); },
+        [this] { close_longest_idle(); });
 }
 
-void caller_listener::accept() {
-    m_acceptor.async_accept([this](error_code ec, net::tcp::socket socket) {
-        if (ec == net::asio::error::operation_aborted) {
-            return;
-        }
-        if (ec) {
-            telemetry::log(event::caller_broke_protocol, {{"reason", "accept: " + ec.message()}});
-        } else {
-            add_session(std::move(socket));
-        }
-        accept();
-    });
-}
-
-void caller_listener::add_session(net::tcp::socket socket) {
-    if (m_sessions.size() + reserved_descriptors >= m_settings.resources.descriptors) {
+bool caller_listener::add_session(net::tcp::socket socket) {
+    if (m_room != nullptr && !m_room->has_room(core::descriptor_use::callers) && !close_longest_idle()) {
         error_code ec;
         socket.close(ec); // No request was read, so the caller may safely retry at another instance.
-        return;
+        return false;
     }
     auto session = std::make_shared<caller_session>(*this, std::move(socket));
     m_sessions.insert(session);
     session->start();
+    return true;
 }
 
-void caller_listener::accept_pending() {
-    error_code ec;
-    m_acceptor.non_blocking(true, ec);
-    while (!ec) {
-        net::tcp::socket socket(m_context);
-        m_acceptor.accept(socket, ec);
-        if (!ec) {
-            add_session(std::move(socket));
+bool caller_listener::close_longest_idle() {
+    const auto at = now();
+    if (at < m_none_idle_until) {
+        return false;
+    }
+    std::shared_ptr<caller_session> longest;
+    for (const auto& s : m_sessions) {
+        if (s->idle() && (!longest || s->idle_since() < longest->idle_since())) {
+            longest = s;
         }
     }
+    if (!longest || longest->idle_since() + min_idle_time > at) {
+        m_none_idle_until = at + idle_search_interval;
+        return false;
+    }
+    const auto before = m_sessions.size();
+    longest->close_if_idle(); // A request that has just arrived keeps it open.
+    return m_sessions.size() < before;
 }
 
 void caller_listener::begin_stop() {
@@ -73,7 +75,7 @@
 }
 
 void caller_listener::close_idle_connections() {
-    accept_pending();
+    m_accepts.accept_queued(m_context);
     const auto sessions = m_sessions;
     for (const auto& s : sessions) {
         s->close_if_idle();
@@ -92,8 +94,7 @@
     for (const auto& s : sessions) {
         s->close();
     }
-    error_code ec;
-    m_acceptor.close(ec);
+    m_accepts.close();
 }
 
 std::size_t caller_listener::in_flight() const {
--- a/src/libbalsampost_entry/caller_session.cpp
+++ b/src/libbalsampost_entry/caller_session.cpp
@@ -168,6 +168,7 @@
 
 void caller_session::start_idle_timer() {
     if (!in_flight() && !m_message_started && !m_closed) {
+        m_idle_since = now();
         start_timer(limits().idle_timeout);
     }
 }
--- a/src/libbalsampost_entry/entry.cpp
+++ b/src/libbalsampost_entry/entry.cpp
@@ -98,23 +98,31 @@
 
 entry::entry(settings s, const platform_factory& make_platform)
     : m_settings(std::move(s)), m_started(now()), m_timers(m_context),
-      m_client(m_context, m_timers, client_limits_of(m_settings)),
+      m_room(m_settings.resources.descriptors), m_client(m_context, m_timers, client_limits_of(m_settings)),
       m_order_client(m_context, m_timers, limits_of_bodies(order_body_bytes, all_order_bodies_bytes)),
       m_store_client(m_context, m_timers, limits_of_bodies(store_body_bytes, all_store_bodies_bytes)),
       m_platform(make_platform(m_store_client, m_timers, m_settings)), m_state(m_settings),
-      m_callers(m_context, {m_state, m_client, m_timers, *m_platform, m_metrics}, m_settings),
-      m_readiness_server(m_context,
+      m_callers(m_context, {m_state, m_client, m_timers, *m_platform, m_metrics}, m_settings, &m_room),
+      m_readiness_server(m_context, m_room, core::descriptor_use::readiness, "readiness",
                          [this] {
                              return page{ready() ? status_ok : status_unavailable, "text/plain", ""};
                          }),
-      m_metrics_server(m_context,
+      m_metrics_server(m_context, m_room, core::descriptor_use::metrics, "metrics",
                        [this] {
                            return page{status_ok, "text/plain; version=0.0.4", m_metrics.serialize()};
                        }),
       m_peers(m_context, {[this](const auto& r, const auto& from) { report_received(r, from); },
                           [this](const auto& u, const auto& from) { update_received(u, from); }}),
       m_signals(m_context, SIGTERM, SIGINT, SIGHUP),
-      m_incarnation_id(incarnation_id(m_settings.instance.name, m_started)) {}
+      m_incarnation_id(incarnation_id(m_settings.instance.name, m_started)) {
+    m_client.limit_connections([this] { return m_room.has_room(core::descriptor_use::servers); });
+    m_room.count(core::descriptor_use::servers, [this] { return m_client.connection_count(); });
+    const auto control_has_room = [this] { return m_room.has_room(core::descriptor_use::control); };
+    m_order_client.limit_connections(control_has_room);
+    m_store_client.limit_connections(control_has_room);
+    m_room.count(core::descriptor_use::control,
+                 [this] { return m_order_client.connection_count() + m_store_client.connection_count(); });
+}
 
 entry::~entry() = default;
 
--- a/src/libbalsampost_entry/forwarding.cpp
+++ b/src/libbalsampost_entry/forwarding.cpp
@@ -250,6 +250,15 @@
                                 bool& reusable) {
     m_exchange_open = false;
     m_exchange.reset();
+    if (result.no_room) { // Says nothing about the server.
+        if (auto* service = m_context.state.find(m_service)) {
+            service->pool.attempt_abandoned(server.self.id);
+        }
+        if (!m_finished && !m_caller_disconnected) {
+            refuse("this instance has no descriptor for a connection to the server", owner_retry_after);
+        }
+        return;
+    }
     const auto at = now();
     const auto outcome = classify(result);
     const auto elapsed = std::chrono::duration_cast<core::milliseconds>(at - sent);
--- a/src/libbalsampost_entry/http_client.cpp
+++ b/src/libbalsampost_entry/http_client.cpp
@@ -46,8 +46,8 @@
 
 class http_connection : public std::enable_shared_from_this<http_connection> {
 public:
-    http_connection(http_client& owner, core::endpoint to)
-        : m_owner(owner), m_to(std::move(to)), m_socket(owner.m_context) {}
+    http_connection(http_client& owner, core::endpoint to, bool has_room)
+        : m_owner(owner), m_to(std::move(to)), m_socket(owner.m_context), m_has_room(has_room) {}
 
     void begin(exchange_request request, exchange_handler done) {
         m_request = std::move(request);
@@ -93,6 +93,7 @@
     }
 
     const core::endpoint& to() const { return m_to; }
+    core::time_point reusable_until() const { return m_reusable_until; }
 
 private:
     void start_response() {
@@ -131,9 +132,15 @@
     }
 
     void connect() {
-        error_code ec;
-        m_socket.open(net::tcp::v4(), ec);
+        error_code ec = net::asio::error::no_descriptors;
+        if (m_has_room) {
+            m_socket.open(net::tcp::v4(), ec);
+        }
+        if (ec && m_owner.close_an_idle_one()) {
+            m_socket.open(net::tcp::v4(), ec);
+        }
         if (ec) {
+            m_no_room = true;
             net::asio::post(m_owner.m_context,
                             [self = shared_from_this(), ec] { self->fail(ec.message(), false); });
             return;
@@ -374,6 +381,7 @@
         result.end = m_send_started ? exchange_end::lost : exchange_end::not_sent;
         result.reason = reason;
         result.refused = m_refused;
+        result.no_room = m_no_room;
         result.connected = m_connect_succeeded;
         result.timed_out = timed_out;
         result.malformed = m_malformed;
@@ -404,6 +412,8 @@
     bool m_busy = false;
     bool m_send_started = false; // A byte of the current request may have been sent.
     bool m_written = false;      // The whole request was written to the socket.
+    bool m_has_room = true;      // Of the owner, when the connection was made.
+    bool m_no_room = false;
     bool m_refused = false;
     bool m_malformed = false;         // The response broke the protocol or a limit.
     bool m_connect_succeeded = false; // Set only for connect_only requests.
@@ -436,8 +446,10 @@
             return chosen;
         }
     }
+    const bool has_room = make_room();
     ++m_targets[to].open;
-    auto connection = std::make_shared<http_connection>(*this, to);
+    ++m_connection_count;
+    auto connection = std::make_shared<http_connection>(*this, to, has_room);
     connection->begin(std::move(request), std::move(done));
     return connection;
 }
@@ -464,6 +476,30 @@
     }
 }
 
+bool http_client::make_room() {
+    while (m_has_room && !m_has_room()) {
+        if (!close_an_idle_one()) {
+            return false;
+        }
+    }
+    return true;
+}
+
+bool http_client::close_an_idle_one() {
+    std::shared_ptr<http_connection> chosen;
+    for (const auto& [to, t] : m_targets) {
+        for (const auto& connection : t.idle) {
+            if (!chosen || connection->reusable_until() < chosen->reusable_until()) {
+                chosen = connection;
+            }
+        }
+    }
+    if (chosen) {
+        chosen->close(false);
+    }
+    return chosen != nullptr;
+}
+
 void http_client::release(const std::shared_ptr<http_connection>& connection) {
     m_targets[connection->to()].idle.push_back(connection);
 }
@@ -473,6 +509,7 @@
     if (found == m_targets.end()) {
         return;
     }
+    --m_connection_count;
     std::erase_if(found->second.idle, [&](const auto& c) { return c.get() == connection; });
     if (--found->second.open == 0) {
         m_targets.erase(found);
