telemetry: a log that nobody reads does not keep the process from ending

With standard output on a blocking pipe whose reader had stopped, the entry went on serving, but never ended after SIGTERM: it was still there after 12 s of a grace of 6 s and had to be killed. The writing thread sat in write(2) (anon_pipe_write), and the end of the log waits for this thread. The stall timeout held for non-blocking descriptors only, and the tests had only these.

Each write now waits by poll(2) until the descriptor is ready and then writes PIPE_BUF bytes at most, which a ready pipe takes at once; the end of the log bounds all writes together, so that a slow reader cannot hold it either. The rows of the test of unread pipes are doubled by blocking ones; a pipe without a reader and a full disk (/dev/full) drop the lines, as they did.

--- a/src/libbalsampost_telemetry/line_writer.cpp
+++ b/src/libbalsampost_telemetry/line_writer.cpp
@@ -28,24 +28,37 @@
 std::size_t line_writer::write_some(std::string_view bytes) {
     std::size_t written = 0;
     while (written < bytes.size()) {
-        const auto n = ::write(m_descriptor, bytes.data() + written, bytes.size() - written);
+        // A blocking descriptor would hold the thread for as long as its reader sleeps. One that is ready
+        // takes PIPE_BUF bytes at once.
+        if (!wait_until_ready()) {
+            return written;
+        }
+        const auto size = std::min<std::size_t>(bytes.size() - written, PIPE_BUF);
+        const auto n = ::write(m_descriptor, bytes.data() + written, size);
         if (n > 0) {
             written += static_cast<std::size_t>(n);
             continue;
         }
-        if (n < 0 && errno == EINTR) {
-            continue;
-        }
-        if (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK) {
+        if (n == 0 || (errno != EINTR && errno != EAGAIN && errno != EWOULDBLOCK)) {
             return written;
         }
+    }
+    return written;
+}
+
+bool line_writer::wait_until_ready() const {
+    using std::chrono::milliseconds;
+    const auto begin = clock::now();
+    while (true) {
+        const auto at = clock::now();
+        const auto left = std::chrono::ceil<milliseconds>(
+            std::min(begin + m_stall_timeout, m_end.load(std::memory_order_relaxed)) - at);
         pollfd ready{m_descriptor, POLLOUT, 0};
-        const auto polled = ::poll(&ready, 1, static_cast<int>(m_stall_timeout.count()));
-        if (polled == 0 || (polled < 0 && errno != EINTR)) {
-            return written;
+        const auto polled = ::poll(&ready, 1, static_cast<int>(std::max(left, milliseconds{0}).count()));
+        if (polled >= 0 || errno != EINTR) {
+            return polled > 0;
         }
     }
-    return written;
 }
 
 std::uint64_t line_writer::write(std::string_view lines) {
--- a/src/libbalsampost_telemetry/line_writer_test.cpp
+++ b/src/libbalsampost_telemetry/line_writer_test.cpp
@@ -5,8 +5,10 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <array>
+#include <csignal>
 #include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
 #include <fcntl.h>
@@ -68,7 +70,9 @@
     CPPUNIT_TEST_SUITE(line_writer_test);
     CPPUNIT_TEST(slow_reader_gets_every_line);
     CPPUNIT_TEST(unread_pipe_drops_and_counts_whole_lines);
+    CPPUNIT_TEST(slow_reader_does_not_hold_the_last_write);
     CPPUNIT_TEST(closed_descriptor_drops_all_lines);
+    CPPUNIT_TEST(pipe_without_a_reader_and_full_disk_drop_all_lines);
     CPPUNIT_TEST_SUITE_END();
 
     void slow_reader_gets_every_line() {
@@ -99,13 +103,14 @@
 
     /// A pipe of 64 KiB takes a part of the lines; after it has been read, further lines follow.
     void unread_pipe_drops_and_counts_whole_lines() {
-        for (const std::size_t line_bytes : {250UL, 9'000UL}) {
+        for (const auto& [blocking, line_bytes] :
+             {std::pair{false, 250UL}, {false, 9'000UL}, {true, 250UL}, {true, 9'000UL}}) {
             constexpr std::size_t count = 1'000;
             std::string lines;
             for (std::size_t i = 0; i < count; ++i) {
                 lines += line_of(i, line_bytes);
             }
-            pipe_ends ends(false);
+            pipe_ends ends(blocking);
             line_writer writer(ends.write_end, milliseconds{1});
             const auto dropped = writer.write(lines);
             CPPUNIT_ASSERT(dropped > 0 && dropped < count);
@@ -132,6 +137,30 @@
         }
     }
 
+    /// The stall timeout alone would allow it 60 s for each piece.
+    void slow_reader_does_not_hold_the_last_write() {
+        std::string lines;
+        for (std::size_t i = 0; lines.size() < (1U << 20U); ++i) {
+            lines += line_of(i, 250);
+        }
+        pipe_ends ends(true);
+        line_writer writer(ends.write_end, milliseconds{60'000});
+        writer.end_at(line_writer::clock::now() + milliseconds{20});
+        CPPUNIT_ASSERT(writer.write(lines) > 0);
+    }
+
+    void pipe_without_a_reader_and_full_disk_drop_all_lines() {
+        std::signal(SIGPIPE, SIG_IGN);
+        pipe_ends ends(true);
+        ::close(std::exchange(ends.read_end, -1));
+        line_writer unread(ends.write_end, milliseconds{1});
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, unread.write("a\nb\n"));
+        const int full = ::open("/dev/full", O_WRONLY);
+        line_writer without_space(full, milliseconds{1});
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, without_space.write("a\nb\n"));
+        ::close(full);
+    }
+
     void closed_descriptor_drops_all_lines() {
         pipe_ends ends(true);
         const auto descriptor = ends.write_end;
--- a/src/libbalsampost_telemetry/log.cpp
+++ b/src/libbalsampost_telemetry/log.cpp
@@ -74,6 +74,7 @@
             const std::scoped_lock lock(m_mutex);
             m_stopping = true;
         }
+        m_writer.end_at(line_writer::clock::now() + output_stall_timeout);
         m_wakeup.notify_one();
         if (m_thread.joinable()) {
             m_thread.join();
