entry: try a listener again whose address is in use or not there yet

One failed bind, even of the metrics port that no platform promises, ended the process with 1; so did a start while the predecessor still drained on the same addresses. Seen with real processes on the code before: the successor of a draining entry and an entry whose metrics port another program held never served (case overlapping_starts: "no" in both).

The cause was that all binds stood in one try block of run() that took each error for final. `listener_start` now binds readiness, peers and callers in this order, every 50 ms, for the stop time plus 5 s: a predecessor may hold the addresses for its whole stop time. It logs one line for each listener and gives up with start_failed and status 1. Metrics are tried every second and never keep the entry from serving nor end it. The event loop runs meanwhile, so that signals are handled: a stop signal before the entry serves ends it with status 0. Callers come last, and the watches start after them, so that readiness says 200 only when callers can connect. The peers' socket is opened anew at each try, and with the family of its address. No SO_REUSEPORT: two processes would share connections.

--- a/src/include/balsampost/entry/entry.h
+++ b/src/include/balsampost/entry/entry.h
@@ -6,6 +6,7 @@
 #include "balsampost/entry/entry_metrics.h"
 #include "balsampost/entry/key_service.h"
 #include "balsampost/entry/kind_watch.h"
+#include "balsampost/entry/listener_start.h"
 #include "balsampost/entry/page_server.h"
 #include "balsampost/entry/peer_exchange.h"
 #include "balsampost/entry/platform.h"
@@ -15,6 +16,7 @@
 #include <boost/asio/signal_set.hpp>
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -28,11 +30,17 @@
     entry(settings s, const platform_factory& make_platform);
     ~entry();
 
-    /// Runs until a graceful shutdown, begun by a stop signal, is complete. Returns false if a listen address
-    /// cannot be bound.
+    /// Runs until a graceful shutdown, begun by a stop signal, is complete. Unblocks the signals that it
+    /// handles. Returns false if an address that callers need cannot be bound for longer than a predecessor
+    /// may take to stop.
     bool run();
 
 private:
+    /// Binds the listeners, again and again if necessary, and then calls `serve`.
+    void begin_start();
+    void serve();
+    /// Ends the process on a stop signal that came before any caller could connect.
+    void stop_before_serving();
     void start_watches();
     /// Sets the watches' roles by whether other instances report here and whether this one coordinates.
     void update_watch_roles();
@@ -99,6 +107,12 @@
     page_server m_metrics_server;
     peer_exchange m_peers;
     net::asio::signal_set m_signals;
+    /// Of the listeners that callers need.
+    std::optional<listener_start> m_start;
+    std::optional<listener_start> m_metrics_start;
+    /// All listeners that callers need are bound, and the watches run.
+    bool m_serving = false;
+    bool m_start_failed = false;
     /// Identifies this process among successive processes of the same instance.
     std::string m_incarnation_id;
     std::shared_ptr<kind_watch> m_backend_watch;
--- a/src/include/balsampost/entry/peer_exchange.h
+++ b/src/include/balsampost/entry/peer_exchange.h
@@ -90,7 +90,7 @@
 
     peer_exchange(net::asio::io_context& context, handlers h) : m_socket(context), m_handlers(std::move(h)) {}
 
-    /// Throws `boost::system::system_error` if the address cannot be bound.
+    /// Throws `boost::system::system_error` if the address cannot be bound; may be called again then.
     void start(const core::endpoint& at);
     void send(const core::endpoint& to, const peer_report& report);
     void send(const core::endpoint& to, const peer_update& update);
--- a/src/include/balsampost/entry/settings.h
+++ b/src/include/balsampost/entry/settings.h
@@ -22,7 +22,7 @@
     core::endpoint callers;
     core::endpoint readiness;
     core::endpoint peers; ///< UDP, for reports and updates between instances.
-    core::endpoint metrics;
+    core::endpoint metrics; ///< Port 0: no metrics are served.
 };
 
 struct store_settings {
--- a/src/libbalsampost_entry/entry.cpp
+++ b/src/libbalsampost_entry/entry.cpp
@@ -119,20 +119,11 @@
 entry::~entry() = default;
 
 bool entry::run() {
-    try {
-        m_readiness_server.start(m_context, m_settings.listen.readiness);
-        m_metrics_server.start(m_context, m_settings.listen.metrics);
-        m_callers.start();
-        m_peers.start(m_settings.listen.peers);
-    } catch (const boost::system::system_error& e) {
-        telemetry::log(event::start_failed, {{"reason", e.what()}});
+    begin_start();
+    m_context.run();
+    if (m_start_failed) {
         return false;
     }
-    telemetry::log(event::started, {{"id", m_incarnation_id}});
-    wait_for_signal();
-    start_watches();
-    report_loads();
-    m_context.run();
     telemetry::log(event::stopped, {});
     return true;
 }
@@ -192,6 +183,8 @@
         if (number == SIGHUP) {
             telemetry::log(event::config_in_force,
                            {{"reload", "settings are read only at startup; SIGHUP has no effect"}});
+        } else if (!m_serving) {
+            stop_before_serving();
         } else if (!m_stopping) {
             begin_stop();
         }
--- a/src/libbalsampost_entry/peer_exchange.cpp
+++ b/src/libbalsampost_entry/peer_exchange.cpp
@@ -99,10 +99,13 @@
 }
 
 void peer_exchange::start(const core::endpoint& at) {
+    const udp::endpoint address(net::asio::ip::make_address(at.address), at.port);
+    udp::socket socket(m_socket.get_executor());
+    socket.open(address.protocol());
+    socket.non_blocking(true);
+    socket.bind(address);
+    m_socket = std::move(socket);
     m_buffer.resize(max_datagram_bytes);
-    m_socket.open(udp::v4());
-    m_socket.non_blocking(true);
-    m_socket.bind({net::asio::ip::make_address(at.address), at.port});
     receive();
 }
 
