--- a/src/libbalsampost_entry/settings.cpp
+++ b/src/libbalsampost_entry/settings.cpp
@@ -14,17 +14,17 @@
 namespace {
 
 const std::array<key_rule<instance_settings>, 4> instance_keys{{
-    {"name", true, &instance_settings::name},
-    {"region", true, &instance_settings::region},
-    {"failure_domain", true, &instance_settings::failure_domain},
-    {"address", true, &instance_settings::address},
+    {"name", false, &instance_settings::name},
+    {"region", false, &instance_settings::region},
+    {"failure_domain", false, &instance_settings::failure_domain},
+    {"address", false, &instance_settings::address},
 }};
 
 const std::array<key_rule<listen_settings>, 4> listen_keys{{
     {"callers", true, &listen_settings::callers},
     {"readiness", true, &listen_settings::readiness},
     {"peers", true, &listen_settings::peers},
-    {"metrics", true, &listen_settings::metrics},
+    {"metrics", false, &listen_settings::metrics},
 }};
 
 const std::array<key_rule<store_settings>, 1> store_keys{{
@@ -42,11 +42,15 @@
     {"repeat_window_ms", false, &bound_settings::repeat_window, 100, 600'000},
 }};
 
+// Higher values, and 0 for "no limit", are taken as these.
+constexpr std::uint32_t max_memory_mb = 1'000'000;
+constexpr std::uint32_t max_descriptors = 10'000'000;
+
 const std::array<key_rule<resource_settings>, 4> resource_keys{{
     {"cpu_share", false, &resource_settings::cpu_share},
     {"link_mbps", false, &resource_settings::link_mbps},
-    {"memory_mb", false, &resource_settings::memory_mb, 32, 1'000'000},
-    {"descriptors", false, &resource_settings::descriptors, 64, 10'000'000},
+    {"memory_mb", false, &resource_settings::memory_mb, 32, max_memory_mb},
+    {"descriptors", false, &resource_settings::descriptors, 64, max_descriptors},
 }};
 
 const std::array<key_rule<log_settings>, 1> log_keys{{
@@ -55,13 +59,77 @@
 
 constexpr std::array<const char*, 4> level_names{"debug", "info", "warning", "error"};
 
-void bind_regions(const core::ini_section& s, settings& out, std::vector<core::ini_error>& faults) {
+void bind_regions(const core::ini_section& s, settings& out, std::vector<core::ini_error>&) {
     for (const auto& [domain, region] : s.entries) {
-        if (region.empty()) {
-            faults.push_back({s.file, s.name, domain, "missing region"});
+        if (!region.empty()) {
+            out.regions[domain] = region;
+        }
+    }
+}
+
+/// Binds a section; a key without a value counts as absent unless it is required.
+template <class T, std::size_t N>
+void bind(core::ini_section s, const std::array<key_rule<T>, N>& keys, T& out,
+          std::vector<core::ini_error>& faults) {
+    std::erase_if(s.entries, [&](const auto& entry) {
+        return entry.second.empty() && std::any_of(keys.begin(), keys.end(), [&](const auto& rule) {
+                   return !rule.required && entry.first == rule.key;
+               });
+    });
+    core::bind_section<T>(s, keys, out, faults);
+}
+
+/// Replaces a whole number that is above `max`, or 0, by `max`. Other texts are left to the checks.
+void bound_limit(std::string& text, std::uint32_t max) {
+    std::uint64_t value = 0;
+    const auto* end = text.data() + text.size();
+    const auto parsed = std::from_chars(text.data(), end, value);
+    if (parsed.ec == std::errc{} && parsed.ptr == end && (value == 0 || value > max)) {
+        text = std::to_string(max);
+    }
+}
+
+void bind_resources(core::ini_section s, settings& out, std::vector<core::ini_error>& faults) {
+    for (auto& [key, text] : s.entries) {
+        if (key == "memory_mb") {
+            bound_limit(text, max_memory_mb);
+        } else if (key == "descriptors") {
+            bound_limit(text, max_descriptors);
         }
-        out.regions[domain] = region;
     }
+    bind(std::move(s), resource_keys, out.resources, faults);
+}
+
+/// Gives an endpoint without an address, as ":9464", the address of the callers' listener.
+core::ini_section with_addresses(core::ini_section s) {
+    const auto found = std::find_if(s.entries.begin(), s.entries.end(),
+                                    [](const auto& entry) { return entry.first == "callers"; });
+    const auto callers = found == s.entries.end() ? std::string() : found->second;
+    for (auto& [key, text] : s.entries) {
+        if (text.starts_with(':')) {
+            text.insert(0, callers.substr(0, callers.rfind(':')));
+        }
+    }
+    return s;
+}
+
+/// Derives what identifies the instance from what is there.
+void complete_identity(settings& s) {
+    auto& self = s.instance;
+    if (self.address.empty()) {
+        self.address = s.listen.callers.address;
+    }
+    if (self.name.empty()) {
+        self.name = core::to_string(s.listen.callers);
+    }
+    if (self.failure_domain.empty()) {
+        self.failure_domain = self.region.empty() ? "default" : self.region;
+    }
+    const auto listed = s.regions.find(self.failure_domain);
+    if (self.region.empty()) {
+        self.region = listed == s.regions.end() ? self.failure_domain : listed->second;
+    }
+    s.regions.try_emplace(self.failure_domain, self.region);
 }
 
 struct section_rule {
@@ -71,25 +139,14 @@
 };
 
 const std::array<section_rule, 7> section_rules{{
-    {"instance", true,
-     [](const auto& s, auto& o, auto& f) {
-         core::bind_section<instance_settings>(s, instance_keys, o.instance, f);
-     }},
+    {"instance", true, [](const auto& s, auto& o, auto& f) { bind(s, instance_keys, o.instance, f); }},
     {"listen", true,
-     [](const auto& s, auto& o, auto& f) {
-         core::bind_section<listen_settings>(s, listen_keys, o.listen, f);
-     }},
-    {"store", true,
-     [](const auto& s, auto& o, auto& f) { core::bind_section<store_settings>(s, store_keys, o.store, f); }},
-    {"bounds", false,
-     [](const auto& s, auto& o, auto& f) { core::bind_section<bound_settings>(s, bound_keys, o.bounds, f); }},
-    {"resources", false,
-     [](const auto& s, auto& o, auto& f) {
-         core::bind_section<resource_settings>(s, resource_keys, o.resources, f);
-     }},
-    {"log", false,
-     [](const auto& s, auto& o, auto& f) { core::bind_section<log_settings>(s, log_keys, o.log, f); }},
-    {"regions", true, bind_regions},
+     [](const auto& s, auto& o, auto& f) { bind(with_addresses(s), listen_keys, o.listen, f); }},
+    {"store", true, [](const auto& s, auto& o, auto& f) { bind(s, store_keys, o.store, f); }},
+    {"bounds", false, [](const auto& s, auto& o, auto& f) { bind(s, bound_keys, o.bounds, f); }},
+    {"resources", false, [](const auto& s, auto& o, auto& f) { bind_resources(s, o, f); }},
+    {"log", false, [](const auto& s, auto& o, auto& f) { bind(s, log_keys, o.log, f); }},
+    {"regions", false, bind_regions},
 }};
 
 /// Parses a decimal number above 0; returns nothing for any other text.
@@ -148,14 +205,10 @@
         faults.push_back(
             {file, "resources", "link_mbps", "'" + out.resources.link_mbps + "' is not a number above 0"});
     }
-    if (present.contains("instance") && present.contains("regions") &&
-        !out.regions.contains(out.instance.failure_domain)) {
-        faults.push_back({file, "regions", out.instance.failure_domain,
-                          "the failure domain of this instance has no region"});
-    }
     if (!faults.empty()) {
         return tl::unexpected(std::move(faults));
     }
+    complete_identity(out);
     return out;
 }
 
