entry: a handler that throws no longer ends the process

Callers saw every request of an instance end without an answer when one handler threw: nothing stood below the event loop, so std::terminate ended the process without a line. One header of one server that the platform's decoder could not read was enough.

The cause was that no task had a bound for its failure. Now each task that serves one connection, request, page or datagram is contained: its exception is logged as handler_failed with the place, the request is answered 502 if it may have run and otherwise 503, or its connection is closed. Objects of the store that cannot be decoded count as unusable. Timers, accepts, signals and peers' datagrams wait again after a failure. What nothing contains ends the process on purpose with a line, unless it is an error of the system, after which no state is half changed.

Evidence: on the former code request_whose_answer_cannot_be_decoded_ fails_alone ended with the uncaught exception "load", and failed_timer_leaves_the_others_armed saw 0 of 1 later actions; both pass now, and a request behind the failed one gets 200.

--- a/src/include/balsampost/entry/caller_session.h
+++ b/src/include/balsampost/entry/caller_session.h
@@ -48,6 +48,9 @@
     using request_parser = net::beast::http::request_parser<net::beast::http::string_body>;
     using ticket = core::request_pipeline::ticket;
 
+    /// Runs `step`. If it throws, this connection alone is closed.
+    template <class Step>
+    void guard(std::string_view place, Step&& step);
     core::caller_limits limits() const;
     exchange& exchange_of(ticket t) { return m_exchanges.at(t - m_pipeline.first()); }
     void start_message();
--- a/src/include/balsampost/entry/forwarding.h
+++ b/src/include/balsampost/entry/forwarding.h
@@ -53,6 +53,10 @@
     void caller_disconnected();
 
 private:
+    /// Runs `step`. If it throws, the request alone fails: 502 if it may have run, otherwise 503.
+    template <class Step>
+    void guard(std::string_view place, Step&& step);
+    void find_route();
     void try_next_server();
     void send_attempt(const std::string& server);
     void on_attempt_end(const core::backend& server, core::time_point sent, exchange_result& result,
--- a/src/libbalsampost_entry/caller_listener.cpp
+++ b/src/libbalsampost_entry/caller_listener.cpp
@@ -2,6 +2,7 @@
 #include "balsampost/entry/caller_listener.h"
 
 #include "balsampost/entry/caller_session.h"
+#include "balsampost/entry/event_loop.h"
 #include "balsampost/telemetry/log.h"
 
 #include <algorithm>
@@ -36,7 +37,7 @@
         if (ec) {
             telemetry::log(event::caller_broke_protocol, {{"reason", "accept: " + ec.message()}});
         } else {
-            add_session(std::move(socket));
+            contained("accepted connection", [&] { add_session(std::move(socket)); });
         }
         accept();
     });
--- a/src/libbalsampost_entry/caller_session.cpp
+++ b/src/libbalsampost_entry/caller_session.cpp
@@ -2,6 +2,7 @@
 #include "balsampost/entry/caller_session.h"
 
 #include "balsampost/entry/entry_metrics.h"
+#include "balsampost/entry/event_loop.h"
 #include "balsampost/net/http_rules.h"
 #include "balsampost/telemetry/log.h"
 
@@ -106,6 +107,13 @@
     wait_for_bytes();
 }
 
+template <class Step>
+void caller_session::guard(std::string_view place, Step&& step) {
+    if (!contained(place, std::forward<Step>(step))) {
+        contained("close of a connection", [&] { close(); });
+    }
+}
+
 void caller_session::close() {
     if (m_closed) {
         return;
@@ -161,7 +169,7 @@
     m_timer = m_owner.m_forwarding.timer_queue.at(now() + within, [weak = weak_from_this()] {
         if (const auto self = weak.lock()) {
             self->m_timer.reset();
-            self->on_timeout();
+            self->guard("timer of a caller", [&] { self->on_timeout(); });
         }
     });
 }
@@ -218,7 +226,7 @@
             self->close();
             return;
         }
-        self->on_readable();
+        self->guard("bytes of a caller", [&] { self->on_readable(); });
     });
 }
 
@@ -415,12 +423,12 @@
             m_pipeline.answered(t);
             continue;
         }
-        e.forwarder = std::make_shared<forwarding>(m_owner.m_forwarding, std::move(e.request),
-                                                   [weak = weak_from_this(), t](caller_answer answer) {
-                                                       if (const auto self = weak.lock()) {
-                                                           self->on_answer(t, std::move(answer));
-                                                       }
-                                                   });
+        e.forwarder = std::make_shared<forwarding>(
+            m_owner.m_forwarding, std::move(e.request), [weak = weak_from_this(), t](caller_answer answer) {
+                if (const auto self = weak.lock()) {
+                    self->guard("answer to a caller", [&] { self->on_answer(t, std::move(answer)); });
+                }
+            });
         const auto forwarder =
             e.forwarder; // Keeps the object alive: the answer may arrive before start() returns.
         forwarder->start();
@@ -491,7 +499,7 @@
             self->close();
             return;
         }
-        self->on_written();
+        self->guard("rest of an answer", [&] { self->on_written(); });
     });
 }
 
--- a/src/libbalsampost_entry/entry.cpp
+++ b/src/libbalsampost_entry/entry.cpp
@@ -2,6 +2,7 @@
 #include "balsampost/entry/entry.h"
 
 #include "balsampost/core/identity.h"
+#include "balsampost/entry/event_loop.h"
 #include "balsampost/telemetry/log.h"
 
 #include <algorithm>
@@ -132,7 +133,10 @@
     wait_for_signal();
     start_watches();
     report_loads();
-    m_context.run();
+    if (!run_event_loop(m_context)) {
+        telemetry::log(event::stopped, {{"reason", "a handler failed"}});
+        return false;
+    }
     telemetry::log(event::stopped, {});
     return true;
 }
@@ -189,13 +193,13 @@
         if (ec) {
             return;
         }
+        wait_for_signal(); // First, so that a failure below leaves later signals in hand.
         if (number == SIGHUP) {
             telemetry::log(event::config_in_force,
                            {{"reload", "settings are read only at startup; SIGHUP has no effect"}});
         } else if (!m_stopping) {
             begin_stop();
         }
-        wait_for_signal();
     });
 }
 
--- a/src/libbalsampost_entry/entry_store_watches.cpp
+++ b/src/libbalsampost_entry/entry_store_watches.cpp
@@ -17,6 +17,16 @@
 constexpr int max_peer_age_percent = 65;
 constexpr int percent = 100;
 
+/// Calls `decode`. What it throws is a fault of the object like any other.
+template <class Decode>
+auto decoded(Decode&& decode) -> decltype(decode()) {
+    try {
+        return decode();
+    } catch (const std::exception& e) {
+        return core::fail(core::error_code::protocol, e.what());
+    }
+}
+
 } // namespace
 
 void entry::start_watches() {
@@ -29,12 +39,12 @@
         [this](const std::vector<stored_object>& objects, core::time_point not_before) {
             std::vector<core::backend> entries;
             for (const auto& o : objects) {
-                auto decoded = m_platform->decode_backend(o);
-                if (decoded) {
-                    entries.push_back(std::move(*decoded));
+                auto server = decoded([&] { return m_platform->decode_backend(o); });
+                if (server) {
+                    entries.push_back(std::move(*server));
                 } else {
                     telemetry::log(event::backend_unusable,
-                                   {{"server", o.name}, {"reason", decoded.error().message}});
+                                   {{"server", o.name}, {"reason", server.error().message}});
                 }
             }
             m_state.directory().replace(std::move(entries), now(), not_before);
@@ -80,18 +90,18 @@
 }
 
 void entry::backend_received(const stored_object& object, core::time_point not_before) {
-    auto decoded = m_platform->decode_backend(object);
-    if (!decoded) {
+    auto server = decoded([&] { return m_platform->decode_backend(object); });
+    if (!server) {
         telemetry::log(event::backend_unusable,
-                       {{"server", object.name}, {"reason", decoded.error().message}});
+                       {{"server", object.name}, {"reason", server.error().message}});
         m_state.directory().remove(object.name, now());
         return;
     }
     telemetry::log(event::backends_changed, {{"server", object.name},
-                                             {"service", decoded->service},
-                                             {"change", decoded->draining ? "draining" : "listed"},
+                                             {"service", server->service},
+                                             {"change", server->draining ? "draining" : "listed"},
                                              {"revision", std::to_string(object.revision)}});
-    m_state.directory().put(std::move(*decoded), now(), not_before);
+    m_state.directory().put(std::move(*server), now(), not_before);
 }
 
 void entry::directory_updated() {
@@ -121,21 +131,21 @@
     if (object.name != m_platform->kinds().manifest_name) {
         return;
     }
-    auto decoded = m_platform->decode_manifest(object);
-    if (!decoded) {
+    auto manifest = decoded([&] { return m_platform->decode_manifest(object); });
+    if (!manifest) {
         telemetry::log(event::config_unusable,
-                       {{"reason", decoded.error().message}, {"revision", std::to_string(object.revision)}});
+                       {{"reason", manifest.error().message}, {"revision", std::to_string(object.revision)}});
         return;
     }
-    if (m_state.routes() && decoded->version <= m_manifest_version) {
+    if (m_state.routes() && manifest->version <= m_manifest_version) {
         return; // A manifest is never replaced by an older version while the process runs.
     }
-    m_manifest_version = decoded->version;
-    m_metrics.manifest_version(decoded->version);
-    telemetry::log(event::config_in_force, {{"version", std::to_string(decoded->version)},
-                                            {"routes", std::to_string(decoded->routes.size())},
+    m_manifest_version = manifest->version;
+    m_metrics.manifest_version(manifest->version);
+    telemetry::log(event::config_in_force, {{"version", std::to_string(manifest->version)},
+                                            {"routes", std::to_string(manifest->routes.size())},
                                             {"revision", std::to_string(object.revision)}});
-    m_state.set_manifest(std::move(*decoded));
+    m_state.set_manifest(std::move(*manifest));
     for (const auto& [service, view] : m_service_views) {
         m_state.set_table(service, view.tables.table());
     }
--- a/src/libbalsampost_entry/entry_updates.cpp
+++ b/src/libbalsampost_entry/entry_updates.cpp
@@ -3,6 +3,7 @@
 // age.
 #include "balsampost/entry/entry.h"
 
+#include "balsampost/entry/event_loop.h"
 #include "balsampost/telemetry/log.h"
 
 #include <algorithm>
@@ -228,10 +229,10 @@
     if (m_stopping) {
         return;
     }
-    update_watch_roles();
     auto interval = report_interval;
+    contained("roles of the watches", [&] { update_watch_roles(); });
     for (auto& [name, runner] : m_key_services) {
-        report_load(name, *runner);
+        contained("report of the load", [&] { report_load(name, *runner); });
         const auto& view = m_service_views[name];
         if (view.reporters.empty() && !runner->leads()) {
             const auto fleet_interval = core::milliseconds(1000) * m_state.instances() / reports_per_second;
--- a/src/libbalsampost_entry/forwarding.cpp
+++ b/src/libbalsampost_entry/forwarding.cpp
@@ -4,6 +4,7 @@
 #include "balsampost/core/admission.h"
 #include "balsampost/entry/answer_notices.h"
 #include "balsampost/entry/entry_metrics.h"
+#include "balsampost/entry/event_loop.h"
 #include "balsampost/net/http_rules.h"
 #include "balsampost/telemetry/log.h"
 
@@ -69,6 +70,31 @@
 }
 
 void forwarding::start() {
+    guard("start of a request", [&] { find_route(); });
+}
+
+template <class Step>
+void forwarding::guard(std::string_view place, Step&& step) {
+    if (contained(place, std::forward<Step>(step))) {
+        return;
+    }
+    contained("answer to a failed request", [&] {
+        if (m_exchange_open) {
+            http_client::abort(m_exchange);
+            m_exchange_open = false;
+            if (auto* service = m_context.state.find(m_service)) {
+                service->pool.attempt_abandoned(m_server);
+            }
+        }
+        // What the step was about to record is unknown, so any attempt may have run the request.
+        m_may_have_run = m_may_have_run || !m_server.empty();
+        if (!m_finished) {
+            refuse("the request failed inside this instance", owner_retry_after);
+        }
+    });
+}
+
+void forwarding::find_route() {
     m_routes = m_context.state.routes();
     if (!m_routes) {
         refuse("no manifest has been received yet", owner_retry_after);
@@ -110,7 +136,7 @@
     m_timer = m_context.timer_queue.at(m_deadline, [weak = weak_from_this()] {
         if (const auto self = weak.lock()) {
             self->m_timer.reset();
-            self->on_deadline();
+            self->guard("deadline of a request", [&] { self->on_deadline(); });
         }
     });
     try_next_server();
@@ -208,12 +234,12 @@
     m_exchange_open = true;
     service->pool.attempt_started(server, sent);
     const auto self = shared_from_this();
-    const auto handle = m_context.client.start(backend.address, std::move(request),
-                                               [self, backend, sent](exchange_result& result) {
-                                                   bool reusable = false;
-                                                   self->on_attempt_end(backend, sent, result, reusable);
-                                                   return reusable;
-                                               });
+    const auto handle = m_context.client.start(
+        backend.address, std::move(request), [self, backend, sent](exchange_result& result) {
+            bool reusable = false;
+            self->guard("answer of a server", [&] { self->on_attempt_end(backend, sent, result, reusable); });
+            return reusable;
+        });
     if (m_exchange_open) {
         m_exchange = handle;
     }
@@ -365,7 +391,7 @@
             self->m_context.timer_queue.cancel(*self->m_owner_timer);
             self->m_owner_timer.reset();
         }
-        self->try_next_server();
+        self->guard("request that waited for an owner", [&] { self->try_next_server(); });
     };
     m_context.state.on_change(retry);
     m_owner_timer = m_context.timer_queue.at(m_owner_wait_deadline, retry);
--- a/src/libbalsampost_entry/http_client.cpp
+++ b/src/libbalsampost_entry/http_client.cpp
@@ -331,7 +331,7 @@
         m_reusable_until = now() + idle_time(result.reply.headers);
         const auto self = shared_from_this();
         const auto done = std::exchange(m_done, nullptr);
-        const bool keep = done && done(result) && reusable;
+        const bool keep = done && call(done, result) && reusable;
         if (m_closed) {
             return;
         }
@@ -386,6 +386,16 @@
         }
     }
 
+    /// A connection whose handler throws is not used again.
+    bool call(const exchange_handler& done, exchange_result& result) {
+        try {
+            return done(result);
+        } catch (...) {
+            close(true);
+            throw;
+        }
+    }
+
     http_client& m_owner;
     core::endpoint m_to;
     net::tcp::socket m_socket;
--- a/src/libbalsampost_entry/page_server.cpp
+++ b/src/libbalsampost_entry/page_server.cpp
@@ -1,6 +1,8 @@
 // Connections of the page server.
 #include "balsampost/entry/page_server.h"
 
+#include "balsampost/entry/event_loop.h"
+
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
@@ -28,7 +30,7 @@
         http::async_read(m_socket, m_buffer, *m_parser,
                          [self = shared_from_this()](error_code ec, std::size_t) {
                              if (!ec) { // After an error the connection is closed without a response.
-                                 self->answer();
+                                 contained("page", [&] { self->answer(); });
                              }
                          });
     }
@@ -45,7 +47,7 @@
         m_response.prepare_payload();
         http::async_write(m_socket, m_response, [self = shared_from_this()](error_code ec, std::size_t) {
             if (!ec && self->m_response.keep_alive()) {
-                self->read();
+                contained("page", [&] { self->read(); });
             }
         });
     }
@@ -75,7 +77,8 @@
             return;
         }
         if (!ec) {
-            std::make_shared<page_session>(std::move(socket), m_render)->read();
+            contained("accepted connection of a page",
+                      [&] { std::make_shared<page_session>(std::move(socket), m_render)->read(); });
         }
         accept();
     });
--- a/src/libbalsampost_entry/peer_exchange.cpp
+++ b/src/libbalsampost_entry/peer_exchange.cpp
@@ -1,6 +1,7 @@
 // The datagram socket between instances and its two message types.
 #include "balsampost/entry/peer_exchange.h"
 
+#include "balsampost/entry/event_loop.h"
 #include "balsampost/net/unpack.h"
 #include "balsampost/telemetry/log.h"
 
@@ -113,7 +114,7 @@
                 return;
             }
             if (!ec) { // An error belongs to an earlier datagram that was not delivered.
-                received(size);
+                contained("datagram of a peer", [&] { received(size); });
             }
             receive();
         });
--- a/src/libbalsampost_entry/timers.cpp
+++ b/src/libbalsampost_entry/timers.cpp
@@ -51,7 +51,12 @@
         }
         auto action = std::move(m_actions.begin()->second);
         m_actions.erase(m_actions.begin());
-        action();
+        try {
+            action();
+        } catch (...) {
+            arm(); // The other actions still run.
+            throw;
+        }
     }
     arm();
 }
