--- a/src/libbalsampost_entry/accept_loop.cpp
+++ b/src/libbalsampost_entry/accept_loop.cpp
@@ -1,6 +1,7 @@
 // The loop of accepting, and its pause after errors.
 #include "balsampost/entry/accept_loop.h"
 
+#include "balsampost/entry/event_loop.h"
 #include "balsampost/entry/timers.h"
 #include "balsampost/telemetry/log.h"
 
@@ -62,7 +63,9 @@
 }
 
 void accept_loop::take(net::tcp::socket socket) {
-    if (m_accepted(std::move(socket))) {
+    bool accepted = true;
+    contained("accepted connection", [&] { accepted = m_accepted(std::move(socket)); });
+    if (accepted) {
         note_taken();
     } else {
         note_refused("no descriptor is left for this listener");
--- a/src/libbalsampost_entry/entry.cpp
+++ b/src/libbalsampost_entry/entry.cpp
@@ -2,6 +2,7 @@
 #include "balsampost/entry/entry.h"
 
 #include "balsampost/core/identity.h"
+#include "balsampost/entry/event_loop.h"
 #include "balsampost/telemetry/log.h"
 
 #include <algorithm>
@@ -128,10 +129,14 @@
 
 bool entry::run() {
     begin_start();
-    m_context.run();
+    const bool loop_ended = run_event_loop(m_context);
     if (m_start_failed) {
         return false;
     }
+    if (!loop_ended) {
+        telemetry::log(event::stopped, {{"reason", "a handler failed"}});
+        return false;
+    }
     telemetry::log(event::stopped, {});
     return true;
 }
@@ -188,6 +193,7 @@
         if (ec) {
             return;
         }
+        wait_for_signal(); // First, so that a failure below leaves later signals in hand.
         if (number == SIGHUP) {
             telemetry::log(event::config_in_force,
                            {{"reload", "settings are read only at startup; SIGHUP has no effect"}});
@@ -196,7 +202,6 @@
         } else if (!m_stopping) {
             begin_stop();
         }
-        wait_for_signal();
     });
 }
 
--- a/src/libbalsampost_entry/page_server.cpp
+++ b/src/libbalsampost_entry/page_server.cpp
@@ -1,6 +1,8 @@
 // Connections of the page server.
 #include "balsampost/entry/page_server.h"
 
+#include "balsampost/entry/event_loop.h"
+
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
@@ -36,10 +38,9 @@
                              if (self->m_closed) {
                                  return;
                              }
-                             if (ec) { // The connection is closed without a response.
+                             // After an error the connection is closed without a response.
+                             if (ec || !contained("page", [&] { self->answer(); })) {
                                  self->close();
-                             } else {
-                                 self->answer();
                              }
                          });
     }
@@ -79,9 +80,8 @@
             if (self->m_closed) {
                 return;
             }
-            if (!ec && self->m_response.keep_alive()) {
-                self->read();
-            } else {
+            const bool goes_on = !ec && self->m_response.keep_alive();
+            if (!goes_on || !contained("page", [&] { self->read(); })) {
                 self->close();
             }
         });
