entry: take a request in a stop only if the grace time can hold it

Callers saw 504 for requests that were sent late in a planned stop and passed on, although their servers were at work. The instance took every request until 3.2 s after SIGTERM (or half of the grace time), whatever time it needed, and answered for the servers 600 ms before the kill.

The cause is that the two constants knew nothing of the request. A request is taken only if the sooner of its own deadline and its route's timeout lies before the margin; others get 503 at once and are never passed on. The time that requests of a kind usually take is not used to take more: a refused request runs elsewhere, one that was cut may not. Requests that wait for the owner of a key and retries of requests that did not run follow the same rule; a retry of a request that may have run goes on, as its caller could not be told more.

The tests of the window cover 3, 4, 6, 10 and 30 s in virtual time, for new and kept connections at the listener; the old interface has no such window, so they cannot run on the code before.

--- a/src/include/balsampost/entry/caller_listener.h
+++ b/src/include/balsampost/entry/caller_listener.h
@@ -19,15 +19,19 @@
 
     /// Binds and starts accepting. Throws `boost::system::system_error` if the address cannot be bound.
     void start();
-    /// From now on answers carry `Connection: close`, which ends each connection after its started requests.
-    void begin_stop();
-    /// Refuses requests that arrive from now on: too little time is left to finish them.
-    void refuse_new_requests() { m_refusing_requests = true; }
+    /// From now on requests that `window` does not hold are refused, and each connection ends after the
+    /// answers to the requests that were read.
+    void begin_stop(const core::stop_window& window);
     /// Closes connections without a request in flight and without unread bytes. Connections that the system
     /// has accepted already are included.
     void close_idle_connections();
-    /// Answers every request in flight with an error. Backend servers may still be running some of them.
-    void fail_in_flight();
+    /// Requests that a stop left without a server's answer.
+    struct unanswered_counts {
+        std::size_t sent = 0; ///< A server may be running the request.
+        std::size_t unsent = 0;
+    };
+    /// Answers every request in flight with an error and ends the connections.
+    unanswered_counts fail_in_flight();
     void close_all();
     std::uint16_t port() const { return m_acceptor.local_endpoint().port(); }
     std::size_t connection_count() const { return m_sessions.size(); }
@@ -52,8 +56,7 @@
     std::vector<char> m_read_buffer;
     /// Memory held by bodies of requests in flight and of answers that wait for earlier answers.
     std::uint64_t m_body_bytes = 0;
-    bool m_stopping = false;
-    bool m_refusing_requests = false;
+    core::stop_window m_stop;
 };
 
 } // namespace balsampost::entry
--- a/src/include/balsampost/entry/caller_session.h
+++ b/src/include/balsampost/entry/caller_session.h
@@ -25,10 +25,10 @@
     bool in_flight() const { return !m_exchanges.empty() || m_writing; }
     /// Closes the connection if it is idle. Reads first, so that a request that has arrived is not lost.
     void close_if_idle();
-    /// Starts no further request behind one that is not answered yet.
-    void begin_stop() { m_pipeline.stop(); }
+    /// Starts no further request behind one that is not answered yet, and refuses what cannot be finished.
+    void begin_stop();
     /// Answers every started request with an error; requests that were not started get no answer.
-    void fail_in_flight();
+    void fail_in_flight(caller_listener::unanswered_counts& counts);
     void close();
 
 private:
@@ -72,6 +72,7 @@
     exchange& append(bool idempotent);
 
     void start_requests();
+    std::vector<std::shared_ptr<forwarding>> active_forwarders() const;
     void on_answer(ticket t, caller_answer answer);
     void write_next();
     void write_rest(std::size_t offset);
--- a/src/include/balsampost/entry/entry.h
+++ b/src/include/balsampost/entry/entry.h
@@ -78,7 +78,10 @@
                       const std::vector<std::pair<std::string, std::uint32_t>>& admit_permille);
     void wait_for_signal();
     void begin_stop();
+    /// Closes idle connections; at the end of the work, answers what is left.
     void finish_stop();
+    /// Ends the process once the last answers are written.
+    void finish_answers();
     void end();
     bool ready() const;
 
@@ -152,7 +155,7 @@
     std::uint64_t m_manifest_version = 0;
     bool m_expiry_armed = false;
     bool m_stopping = false;
-    core::time_point m_stop_at{};
+    core::stop_window m_stop;
 };
 
 } // namespace balsampost::entry
--- a/src/include/balsampost/entry/forwarding.h
+++ b/src/include/balsampost/entry/forwarding.h
@@ -2,6 +2,7 @@
 // answer.
 #pragma once
 
+#include "balsampost/core/stop_window.h"
 #include "balsampost/entry/http_client.h"
 #include "balsampost/entry/platform.h"
 #include "balsampost/entry/traffic_state.h"
@@ -36,8 +37,18 @@
     timers& timer_queue;
     const platform& adapter;
     entry_metrics& metrics;
+    const core::stop_window* stop = nullptr; ///< Null: the instance never stops.
+
+    /// Whether the instance may take a request that is answered by `deadline`.
+    bool holds(core::time_point deadline) const { return stop == nullptr || stop->holds(deadline); }
 };
 
+/// Returns the time by which a request that arrived at `arrived` is answered: the sooner of its own deadline
+/// and its route's timeout. Empty if no route matches it.
+std::optional<core::time_point> answer_deadline(const forwarding_context& context,
+                                                const net::beast::http::fields& headers,
+                                                const std::string& target, core::time_point arrived);
+
 class forwarding : public std::enable_shared_from_this<forwarding> {
 public:
     using handler = std::function<void(caller_answer)>;
@@ -46,8 +57,11 @@
 
     /// Starts the request. The handler is called at most once, possibly before `start` returns.
     void start();
-    /// Answers the caller at once, as at the deadline. Used when the instance shuts down.
-    void expire() { on_deadline(); }
+    /// Refuses the request if it waits for an owner and cannot be finished before the instance stops.
+    void begin_stop();
+    /// Answers the caller at once since the instance stops. Returns whether a server may have run the
+    /// request.
+    bool expire();
     /// The caller has closed its connection: no further attempt is made, and an open attempt of an idempotent
     /// request is aborted. The handler is not called.
     void caller_disconnected();
@@ -61,7 +75,9 @@
     core::attempt_result classify(const exchange_result& result) const;
     bool may_retry() const;
     void wait_for_owner(std::uint64_t stale_fence);
-    void on_deadline();
+    void give_up(const char* reason_if_sent, const char* reason_if_unsent);
+    /// Refuses the request if the instance stops too early to finish it. Returns whether it did.
+    bool refuse_for_stop();
     void refuse(const char* reason, core::milliseconds retry_after, double min_jitter = 0.8);
     void fail(unsigned status, const char* reason);
     void finish(caller_answer answer);
--- a/src/libbalsampost_entry/caller_listener.cpp
+++ b/src/libbalsampost_entry/caller_listener.cpp
@@ -19,7 +19,9 @@
 
 caller_listener::caller_listener(net::asio::io_context& context, forwarding_context forwarding,
                                  const settings& s)
-    : m_context(context), m_forwarding(forwarding), m_settings(s), m_acceptor(context) {}
+    : m_context(context), m_forwarding(forwarding), m_settings(s), m_acceptor(context) {
+    m_forwarding.stop = &m_stop;
+}
 
 caller_listener::~caller_listener() = default;
 
@@ -65,9 +67,10 @@
     }
 }
 
-void caller_listener::begin_stop() {
-    m_stopping = true;
-    for (const auto& s : m_sessions) {
+void caller_listener::begin_stop(const core::stop_window& window) {
+    m_stop = window;
+    const auto sessions = m_sessions; // Some end.
+    for (const auto& s : sessions) {
         s->begin_stop();
     }
 }
@@ -80,11 +83,13 @@
     }
 }
 
-void caller_listener::fail_in_flight() {
+caller_listener::unanswered_counts caller_listener::fail_in_flight() {
+    unanswered_counts counts;
     const auto sessions = m_sessions;
     for (const auto& s : sessions) {
-        s->fail_in_flight();
+        s->fail_in_flight(counts);
     }
+    return counts;
 }
 
 void caller_listener::close_all() {
--- a/src/libbalsampost_entry/caller_listener_test.cpp
+++ b/src/libbalsampost_entry/caller_listener_test.cpp
@@ -12,6 +12,8 @@
 
 using namespace std::chrono_literals;
 
+const std::string ok = "HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nIntegrity: i\r\nContent-Length: 2\r\n\r\nok";
+
 settings listener_settings() {
     settings s;
     s.instance.failure_domain = "d";
@@ -55,11 +57,20 @@
             context.run_for(5ms);
         }
     }
-    std::shared_ptr<net::tcp::socket> request() {
+    std::shared_ptr<net::tcp::socket> connect() {
         auto socket = std::make_shared<net::tcp::socket>(context);
         socket->connect({net::asio::ip::make_address("127.0.0.1"), callers.port()});
-        net::asio::write(*socket, net::asio::buffer(std::string(
-                                      "GET /x HTTP/1.1\r\nHost: h\r\nRequest-Id: req-1\r\n\r\n")));
+        return socket;
+    }
+    /// Sends a request that the caller gives `time`.
+    static void send(net::tcp::socket& socket, core::milliseconds time) {
+        net::asio::write(socket, net::asio::buffer("GET /x HTTP/1.1\r\nHost: h\r\nRequest-Id: req-1\r\n"
+                                                   "Deadline-Ms: " +
+                                                   std::to_string(time.count()) + "\r\n\r\n"));
+    }
+    std::shared_ptr<net::tcp::socket> request(core::milliseconds time = 60s) {
+        auto socket = connect();
+        send(*socket, time);
         return socket;
     }
     /// Reads until the connection is closed.
@@ -88,6 +99,7 @@
 class caller_listener_test : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(caller_listener_test);
     CPPUNIT_TEST(requests_in_flight_at_shutdown_are_answered);
+    CPPUNIT_TEST(requests_that_outlast_the_grace_time_are_refused);
     CPPUNIT_TEST(late_requests_during_shutdown_are_refused);
     CPPUNIT_TEST(request_of_a_disconnected_caller_is_not_forwarded);
     CPPUNIT_TEST(bodies_in_chunks_count_by_their_size);
@@ -99,8 +111,9 @@
         stopping_instance i({"silence"});
         const auto socket = i.request();
         i.run_until([&] { return i.server.requests() == 1; });
-        i.callers.begin_stop();
-        i.callers.fail_in_flight();
+        i.callers.begin_stop(core::stop_window(now(), 6s));
+        const auto unanswered = i.callers.fail_in_flight();
+        CPPUNIT_ASSERT(unanswered.sent == 1 && unanswered.unsent == 0);
         const auto text = i.answer(socket);
         CPPUNIT_ASSERT_MESSAGE(text, text.starts_with("HTTP/1.1 504"));
         CPPUNIT_ASSERT(text.ends_with("\r\n\r\n"));
@@ -153,10 +166,57 @@
         i.run_until([&] { return i.server.requests() > 0; }); // The first upload is complete and sent on.
     }
 
+    /// Guards against requests that a stop takes on new and kept connections and cuts at its end.
+    void requests_that_outlast_the_grace_time_are_refused() {
+        struct row {
+            core::milliseconds stopping_for; // Of the time until work ends.
+            core::milliseconds time;         // That the caller gives.
+            bool taken;
+        };
+        for (const core::milliseconds grace : {3s, 4s, 6s, 10s, 30s}) {
+            const core::stop_window whole(now(), grace);
+            const auto work = std::chrono::duration_cast<core::milliseconds>(whole.work_end() - now()) + 1ms;
+            const row rows[] = {
+                {0ms, work - 700ms, true}, {0ms, work + 100ms, false}, {work - 2s, 1s, true},
+                {work - 2s, 3s, false},    {work - 1s, 800ms, true},   {work - 1s, 1'500ms, false},
+                {work + 20ms, 1s, false},  {work - 1s, 60s, false},
+            };
+            for (const auto& r : rows) {
+                for (const bool kept : {false, true}) {
+                    const auto name = std::to_string(grace.count()) + " " +
+                                      std::to_string(r.stopping_for.count()) + " " +
+                                      std::to_string(r.time.count()) + (kept ? " kept" : " new");
+                    stopping_instance i({ok, ok});
+                    std::shared_ptr<net::tcp::socket> socket;
+                    if (kept) {
+                        socket = i.request();
+                        i.run_until([&] { return socket->available() > 0; });
+                    }
+                    i.callers.begin_stop(core::stop_window(now() - r.stopping_for, grace));
+                    if (kept) {
+                        i.send(*socket, r.time);
+                    } else {
+                        socket = i.request(r.time);
+                    }
+                    auto text = i.answer(socket);
+                    if (kept) {
+                        text = text.substr(text.find("HTTP/1.1", 1));
+                    }
+                    CPPUNIT_ASSERT_MESSAGE(name + text,
+                                           text.starts_with(r.taken ? "HTTP/1.1 200" : "HTTP/1.1 503"));
+                    CPPUNIT_ASSERT_MESSAGE(name, text.find("Connection: close") != std::string::npos);
+                    CPPUNIT_ASSERT_EQUAL_MESSAGE(name, r.taken,
+                                                 text.find("Retry-After: ") == std::string::npos);
+                    CPPUNIT_ASSERT_EQUAL_MESSAGE(name, (kept ? 1 : 0) + (r.taken ? 1 : 0),
+                                                 i.server.requests());
+                }
+            }
+        }
+    }
+
     void late_requests_during_shutdown_are_refused() {
         stopping_instance i({"silence"});
-        i.callers.begin_stop();
-        i.callers.refuse_new_requests();
+        i.callers.begin_stop(core::stop_window(now() - 3'200ms, 6s));
         const auto text = i.answer(i.request());
         CPPUNIT_ASSERT_MESSAGE(text, text.starts_with("HTTP/1.1 503"));
         CPPUNIT_ASSERT(text.find("Retry-After: ") != std::string::npos);
--- a/src/libbalsampost_entry/caller_pipeline_test.cpp
+++ b/src/libbalsampost_entry/caller_pipeline_test.cpp
@@ -282,7 +282,7 @@
         pipelining_caller c(i);
         c.send(get("/safe/a") + get("/safe/b") + get("/once/c") + get("/safe/d"));
         i.run_until([&] { return i.server.seen().size() == 2; });
-        i.callers.begin_stop();
+        i.callers.begin_stop(core::stop_window(now(), 90s));
         c.send(get("/safe/e"));
         i.settle();
         i.server.answer("/safe/b");
@@ -301,7 +301,7 @@
         pipelining_caller existing(i);
         existing.send(get("/safe/a"));
         i.run_until([&] { return existing.answers().size() == 1; });
-        i.callers.begin_stop();
+        i.callers.begin_stop(core::stop_window(now(), 90s));
         existing.send(get("/safe/b"));
         pipelining_caller fresh(i); // Waits in the listening socket's queue.
         fresh.send(get("/safe/c"));
--- a/src/libbalsampost_entry/caller_session.cpp
+++ b/src/libbalsampost_entry/caller_session.cpp
@@ -34,7 +34,6 @@
 constexpr core::milliseconds body_timeout{30'000}; // For receiving a whole body.
 constexpr std::uint64_t body_memory_divisor = 3;   // Bodies may use a third of the memory.
 constexpr core::milliseconds memory_full_retry_after{500};
-constexpr core::milliseconds stopping_retry_after{100}; // Short: other instances are available.
 constexpr core::milliseconds linger_timeout{1'000};
 
 std::string_view view(net::beast::string_view text) {
@@ -98,7 +97,7 @@
     error_code ec;
     m_socket.set_option(net::tcp::no_delay(true), ec);
     m_socket.non_blocking(true, ec);
-    if (m_owner.m_stopping) {
+    if (m_owner.m_stop.stopping()) {
         m_pipeline.stop();
     }
     start_message();
@@ -133,15 +132,26 @@
     close();
 }
 
-void caller_session::fail_in_flight() {
+std::vector<std::shared_ptr<forwarding>> caller_session::active_forwarders() const {
     std::vector<std::shared_ptr<forwarding>> active;
     for (const auto& e : m_exchanges) {
         if (e.forwarder) {
             active.push_back(e.forwarder);
         }
     }
-    for (const auto& forwarder : active) {
-        forwarder->expire();
+    return active;
+}
+
+void caller_session::begin_stop() {
+    m_pipeline.stop();
+    for (const auto& forwarder : active_forwarders()) {
+        forwarder->begin_stop();
+    }
+}
+
+void caller_session::fail_in_flight(caller_listener::unanswered_counts& counts) {
+    for (const auto& forwarder : active_forwarders()) {
+        ++(forwarder->expire() ? counts.sent : counts.unsent);
     }
 }
 
@@ -373,13 +383,6 @@
         answer_and_close(status_bad_request, std::nullopt);
         return;
     }
-    if (m_owner.m_refusing_requests) {
-        telemetry::log(event::request_refused, {{"request", std::string(view(message[id_header]))},
-                                                {"reason", "the instance is shutting down"}});
-        m_owner.m_forwarding.metrics.refused();
-        answer_and_close(status_unavailable, stopping_retry_after);
-        return;
-    }
     const auto routes = m_owner.m_forwarding.state.routes();
     const auto* route =
         routes ? routes->find(view(message[http::field::host]), std::string(target)) : nullptr;
@@ -452,7 +455,7 @@
         return;
     }
     auto e = std::move(m_exchanges.front());
-    m_keep_alive = !e.is_last && (!m_owner.m_stopping || m_pipeline.started_behind_first());
+    m_keep_alive = !e.is_last && (!m_owner.m_stop.stopping() || m_pipeline.started_behind_first());
     m_exchanges.pop_front();
     m_pipeline.pop();
     m_answer_bytes = e.accounted_bytes;
--- a/src/libbalsampost_entry/entry.cpp
+++ b/src/libbalsampost_entry/entry.cpp
@@ -1,4 +1,4 @@
-// Wiring of the components: startup, keyed services, readiness, and the graceful shutdown.
+// Wiring of the components: startup, keyed services, readiness and signals.
 #include "balsampost/entry/entry.h"
 
 #include "balsampost/core/identity.h"
@@ -16,12 +16,6 @@
 
 constexpr unsigned status_ok = 200;
 constexpr unsigned status_unavailable = 503;
-// Time after the stop signal until the load balancer sends no more connections: it polls readiness once a
-// second and removes an instance after two failures.
-constexpr core::milliseconds balancer_removal_time{3'200};
-constexpr core::milliseconds stop_margin{600}; // Left before the process is killed.
-constexpr core::milliseconds stop_poll_interval{50};
-constexpr core::milliseconds final_answer_time{200}; // For the last answers to reach their callers.
 // Instances that try to take a free tenure are spread over this time.
 constexpr core::milliseconds takeover_spread{250};
 // Additional wait of the instance with the least capacity, so that the others try first.
@@ -182,7 +176,7 @@
     }
 }
 
-// Shutdown
+// Signals
 
 void entry::wait_for_signal() {
     m_signals.async_wait([this](error_code ec, int number) {
@@ -199,48 +193,4 @@
     });
 }
 
-void entry::begin_stop() {
-    telemetry::log(event::stopping, {{"in_flight", std::to_string(m_callers.in_flight())}});
-    m_stopping = true;
-    m_stop_at = now() + m_settings.bounds.stop_time - stop_margin;
-    m_callers.begin_stop();
-    for (const auto& [name, runner] : m_key_services) {
-        runner->resign([this, name = name] {
-            peer_update update;
-            update.service = name;
-            update.resigned = true;
-            update.instances = m_state.instances();
-            for (const auto& [instance, r] : m_service_views[name].reporters) {
-                m_peers.send(r.address, update);
-            }
-        });
-    }
-    // A request that arrives late in the shutdown could not be completed in time.
-    m_timers.at(now() + std::min(balancer_removal_time, m_settings.bounds.stop_time / 2),
-                [this] { m_callers.refuse_new_requests(); });
-    const auto balancer_gone =
-        now() + std::min(balancer_removal_time, m_settings.bounds.stop_time / 2 + stop_poll_interval);
-    m_timers.at(balancer_gone, [this] { finish_stop(); });
-}
-
-void entry::finish_stop() {
-    m_callers.close_idle_connections();
-    const auto at = now();
-    if (m_callers.connection_count() == 0) {
-        end();
-    } else if (at >= m_stop_at) {
-        telemetry::log(event::drain_deadline, {{"connections", std::to_string(m_callers.connection_count())},
-                                               {"in_flight", std::to_string(m_callers.in_flight())}});
-        m_callers.fail_in_flight();
-        m_timers.at(at + final_answer_time, [this] { end(); });
-    } else {
-        m_timers.at(at + stop_poll_interval, [this] { finish_stop(); });
-    }
-}
-
-void entry::end() {
-    m_timers.stop();
-    m_context.stop();
-}
-
 } // namespace balsampost::entry
--- /dev/null
+++ b/src/libbalsampost_entry/entry_stop.cpp
@@ -0,0 +1,74 @@
+// Graceful shutdown: gives up the coordinators' tenures, ends callers' connections, and ends the process
+// within the grace time.
+#include "balsampost/entry/entry.h"
+
+#include "balsampost/telemetry/log.h"
+
+#include <algorithm>
+
+namespace balsampost::entry {
+
+using telemetry::event;
+
+namespace {
+
+constexpr core::milliseconds stop_poll_interval{50};
+constexpr core::milliseconds last_answers_poll_interval{10};
+
+} // namespace
+
+void entry::begin_stop() {
+    telemetry::log(event::stopping, {{"in_flight", std::to_string(m_callers.in_flight())}});
+    m_stopping = true;
+    m_stop = core::stop_window(now(), m_settings.bounds.stop_time);
+    m_callers.begin_stop(m_stop);
+    for (const auto& [name, runner] : m_key_services) {
+        runner->resign([this, name = name] {
+            peer_update update;
+            update.service = name;
+            update.resigned = true;
+            update.instances = m_state.instances();
+            for (const auto& [instance, r] : m_service_views[name].reporters) {
+                m_peers.send(r.address, update);
+            }
+        });
+    }
+    m_timers.at(m_stop.listen_end(), [this] { finish_stop(); });
+}
+
+void entry::finish_stop() {
+    m_callers.close_idle_connections();
+    const auto at = now();
+    if (m_callers.connection_count() == 0) {
+        end();
+    } else if (at >= m_stop.work_end()) {
+        const auto connections = m_callers.connection_count();
+        const auto in_flight = m_callers.in_flight();
+        const auto unanswered = m_callers.fail_in_flight();
+        telemetry::log(event::drain_deadline, {{"connections", std::to_string(connections)},
+                                               {"in_flight", std::to_string(in_flight)},
+                                               {"cut", std::to_string(unanswered.sent)},
+                                               {"unsent", std::to_string(unanswered.unsent)}});
+        finish_answers();
+    } else {
+        m_timers.at(std::min(at + stop_poll_interval, m_stop.work_end()), [this] { finish_stop(); });
+    }
+}
+
+void entry::finish_answers() {
+    m_callers.close_idle_connections();
+    const auto at = now();
+    if (m_callers.connection_count() == 0 || at >= m_stop.process_end()) {
+        end();
+    } else {
+        m_timers.at(std::min(at + last_answers_poll_interval, m_stop.process_end()),
+                    [this] { finish_answers(); });
+    }
+}
+
+void entry::end() {
+    m_timers.stop();
+    m_context.stop();
+}
+
+} // namespace balsampost::entry
--- a/src/libbalsampost_entry/forwarding.cpp
+++ b/src/libbalsampost_entry/forwarding.cpp
@@ -39,6 +39,7 @@
 // a server asked for, they would be refused again.
 constexpr double max_jitter = 1.4;
 constexpr double min_pause_jitter = 1.0;
+constexpr core::milliseconds stopping_retry_after{100}; // Short: other instances are available.
 constexpr core::milliseconds min_time_left{10}; // With less time left a server cannot finish a request.
 
 /// Whether callers take `status` as a guarantee that the request did not run and never will.
@@ -59,8 +60,28 @@
     return parsed.ec == std::errc{} && parsed.ptr == end ? std::optional<T>(value) : std::nullopt;
 }
 
+core::time_point deadline_on(const core::route& route, const platform& adapter, const http::fields& headers,
+                             core::time_point arrived) {
+    auto limit = route.timeout;
+    if (const auto given = parse_number<std::int64_t>(view(headers[adapter.headers().deadline_ms]))) {
+        const core::milliseconds stated{std::max<std::int64_t>(*given, 0)};
+        limit = std::min(limit, std::max(stated - answer_transit_time, core::milliseconds{0}));
+    }
+    return arrived + limit;
+}
+
 } // namespace
 
+std::optional<core::time_point> answer_deadline(const forwarding_context& context,
+                                                const http::fields& headers, const std::string& target,
+                                                core::time_point arrived) {
+    const auto routes = context.state.routes();
+    const auto* route = routes ? routes->find(view(headers[http::field::host]), target) : nullptr;
+    return route == nullptr
+               ? std::nullopt
+               : std::optional<core::time_point>(deadline_on(*route, context.adapter, headers, arrived));
+}
+
 forwarding::forwarding(forwarding_context context, caller_request request, handler done)
     : m_context(context), m_request(std::move(request)), m_done(std::move(done)) {}
 
@@ -80,13 +101,10 @@
         fail(status_not_found, "no route matches the request");
         return;
     }
-    auto limit = m_route->timeout;
-    if (const auto given =
-            parse_number<std::int64_t>(view(m_request.headers[m_context.adapter.headers().deadline_ms]))) {
-        const core::milliseconds stated{std::max<std::int64_t>(*given, 0)};
-        limit = std::min(limit, std::max(stated - answer_transit_time, core::milliseconds{0}));
+    m_deadline = deadline_on(*m_route, m_context.adapter, m_request.headers, m_request.arrived);
+    if (refuse_for_stop()) {
+        return;
     }
-    m_deadline = m_request.arrived + limit;
     m_target_deadline = m_request.arrived + m_route->target_latency;
     const auto chosen = m_route->destinations.size() == 1
                             ? 0
@@ -110,7 +128,8 @@
     m_timer = m_context.timer_queue.at(m_deadline, [weak = weak_from_this()] {
         if (const auto self = weak.lock()) {
             self->m_timer.reset();
-            self->on_deadline();
+            self->give_up("no answer before the deadline",
+                          "the deadline passed before the request was sent to a server");
         }
     });
     try_next_server();
@@ -132,6 +151,10 @@
     if (at + min_time_left >= m_deadline) {
         return; // The deadline timer answers.
     }
+    // A repeat of a request that may have run continues: the caller could not be told that it did not run.
+    if (!m_may_have_run && refuse_for_stop()) {
+        return;
+    }
     auto* service = m_context.state.find(m_service);
     if (service == nullptr) {
         fail(m_may_have_run ? status_bad_gateway : status_unavailable, "the service was removed");
@@ -390,7 +413,27 @@
     finish({});
 }
 
-void forwarding::on_deadline() {
+void forwarding::begin_stop() {
+    if (m_waiting_for_owner && !m_may_have_run) {
+        refuse_for_stop();
+    }
+}
+
+bool forwarding::refuse_for_stop() {
+    if (m_context.holds(m_deadline)) {
+        return false;
+    }
+    refuse("the instance is shutting down and may not finish the request in time", stopping_retry_after);
+    return true;
+}
+
+bool forwarding::expire() {
+    give_up("cut by the shutdown: the grace time ended before the server's answer",
+            "the shutdown ended before the request was sent to a server");
+    return m_may_have_run;
+}
+
+void forwarding::give_up(const char* reason_if_sent, const char* reason_if_unsent) {
     if (m_finished) {
         return;
     }
@@ -406,9 +449,9 @@
         }
     }
     if (m_may_have_run) {
-        fail(status_gateway_timeout, "no answer before the deadline");
+        fail(status_gateway_timeout, reason_if_sent);
     } else {
-        refuse("the deadline passed before the request was sent to a server", owner_retry_after);
+        refuse(reason_if_unsent, owner_retry_after);
     }
 }
 
