entry: answer every pipelined request that was read before a stop ended

A caller that had pipelined several requests lost those that waited for an earlier one when the instance stopped: they were read whole, and the connection closed after the answers to the started requests.

The cause is that request_pipeline::stop() left the waiting requests to be sent again, though the caller cannot tell which were read. Now the pipeline goes on during a stop: a request that the grace time holds runs, any other gets 503, in order, and only the last answer carries Connection: close. Before that answer the socket is read once more. The end of the work answers the waiting requests too, also more than a connection may have unfinished, and ends the connection without a reset.

The test shutdown_answers_started_requests_and_leaves_the_rest_unread stated the old behaviour. shutdown_answers_every_request_that_was_read sends the same requests and demands an answer to each, with a long and a short grace time; it keeps the checks of what reaches the server and of Connection: close. end_of_a_shutdown_answers_waiting_requests covers the end of the grace time. Both failed before with an assertion. The rows and steps of request_pipeline_test that called stop() went with it.

--- a/src/include/balsampost/core/request_pipeline.h
+++ b/src/include/balsampost/core/request_pipeline.h
@@ -39,10 +39,6 @@
         m_requests.pop_front();
         ++m_first;
     }
-    /// Starts no further requests except the first one, so that later requests are left to be sent again.
-    void stop() { m_stopped = true; }
-    /// Whether any request after the first has started.
-    bool started_behind_first() const;
 
 private:
     enum class progress : std::uint8_t { waiting, started, answered };
@@ -54,7 +50,6 @@
     std::size_t m_capacity;
     std::deque<request> m_requests; // All started or answered requests precede all waiting ones.
     ticket m_first = 1;
-    bool m_stopped = false;
 };
 
 } // namespace balsampost::core
--- a/src/include/balsampost/entry/caller_session.h
+++ b/src/include/balsampost/entry/caller_session.h
@@ -25,9 +25,9 @@
     bool in_flight() const { return !m_exchanges.empty() || m_writing; }
     /// Closes the connection if it is idle. Reads first, so that a request that has arrived is not lost.
     void close_if_idle();
-    /// Starts no further request behind one that is not answered yet, and refuses what cannot be finished.
+    /// Refuses what cannot be finished. The connection ends after the answers to all requests that were read.
     void begin_stop();
-    /// Answers every started request with an error; requests that were not started get no answer.
+    /// Answers every request that was read with an error and ends the connection.
     void fail_in_flight(caller_listener::unanswered_counts& counts);
     void close();
 
@@ -57,7 +57,9 @@
     void on_timeout();
 
     void wait_for_bytes();
-    /// Reads the available bytes, up to a limit. Returns false if the caller has disconnected.
+    /// Reads and parses the available bytes, up to a limit. Returns false if the caller has disconnected.
+    bool receive();
+    /// Receives, and starts the requests that are complete.
     bool read_available();
     void on_readable();
     void parse();
@@ -78,6 +80,8 @@
     void write_rest(std::size_t offset);
     void on_written();
     void release_bytes(std::uint64_t& accounted);
+    /// Whether bytes of a request that is not complete were received.
+    bool partly_read() const { return !m_reading_ended && (m_message_started || !m_unparsed.empty()); }
     void linger_close();
     void drain();
 
@@ -99,7 +103,8 @@
     bool m_header_parsed = false;
     bool m_continue_pending = false; // The caller expects a 100 Continue.
     bool m_reading_ended = false;
-    bool m_keep_alive = true; // Whether the connection stays open after the current answer.
+    bool m_stop_ended = false; // The connection ends after the requests that were read.
+    bool m_keep_alive = true;  // Whether the connection stays open after the current answer.
     bool m_lingering = false;
     bool m_closed = false;
 };
--- a/src/libbalsampost_core/request_pipeline.cpp
+++ b/src/libbalsampost_core/request_pipeline.cpp
@@ -15,7 +15,7 @@
     for (std::size_t i = 0; i < m_requests.size(); ++i) {
         auto& r = m_requests[i];
         const bool has_predecessor = i > 0;
-        if (has_predecessor && (m_stopped || !r.idempotent)) {
+        if (has_predecessor && !r.idempotent) {
             break;
         }
         if (r.progress == progress::waiting) {
@@ -33,8 +33,4 @@
     m_requests.at(which - m_first).progress = progress::answered;
 }
 
-bool request_pipeline::started_behind_first() const {
-    return m_requests.size() > 1 && m_requests[1].progress != progress::waiting;
-}
-
 } // namespace balsampost::core
--- a/src/libbalsampost_entry/caller_session.cpp
+++ b/src/libbalsampost_entry/caller_session.cpp
@@ -97,9 +97,6 @@
     error_code ec;
     m_socket.set_option(net::tcp::no_delay(true), ec);
     m_socket.non_blocking(true, ec);
-    if (m_owner.m_stop.stopping()) {
-        m_pipeline.stop();
-    }
     start_message();
     start_idle_timer();
     wait_for_bytes();
@@ -143,16 +140,19 @@
 }
 
 void caller_session::begin_stop() {
-    m_pipeline.stop();
     for (const auto& forwarder : active_forwarders()) {
         forwarder->begin_stop();
     }
 }
 
 void caller_session::fail_in_flight(caller_listener::unanswered_counts& counts) {
+    m_stop_ended = true;
     for (const auto& forwarder : active_forwarders()) {
         ++(forwarder->expire() ? counts.sent : counts.unsent);
     }
+    if (!m_closed && !m_lingering && !in_flight()) {
+        linger_close();
+    }
 }
 
 void caller_session::release_bytes(std::uint64_t& accounted) {
@@ -238,7 +238,7 @@
     }
 }
 
-bool caller_session::read_available() {
+bool caller_session::receive() {
     auto& buffer = m_owner.m_read_buffer;
     buffer.resize(read_size);
     const auto self = shared_from_this();
@@ -259,7 +259,14 @@
             parse();
         }
     }
-    // A disconnect was detected by the reads above, so no request of a disconnected caller is forwarded.
+    return !m_closed;
+}
+
+bool caller_session::read_available() {
+    // A disconnect is detected before, so no request of a disconnected caller is forwarded.
+    if (!receive()) {
+        return false;
+    }
     start_requests();
     write_next();
     return !m_closed;
@@ -454,9 +461,15 @@
     if (m_closed || m_writing || m_lingering || !m_pipeline.can_write()) {
         return;
     }
+    const bool stopping = m_owner.m_stop.stopping();
+    const auto self = shared_from_this();
+    // Answers a request that has arrived meanwhile instead of closing the connection in front of it.
+    if (stopping && m_exchanges.size() == 1 && !m_exchanges.front().is_last && !receive()) {
+        return;
+    }
     auto e = std::move(m_exchanges.front());
-    m_keep_alive = !e.is_last && (!m_owner.m_stop.stopping() || m_pipeline.started_behind_first());
     m_exchanges.pop_front();
+    m_keep_alive = !e.is_last && (!stopping || !m_exchanges.empty() || (partly_read() && !m_stop_ended));
     m_pipeline.pop();
     m_answer_bytes = e.accounted_bytes;
     m_writing = true;
@@ -508,6 +521,13 @@
     }
     parse();
     start_requests();
+    if (m_closed || m_lingering) {
+        return;
+    }
+    if (m_stop_ended && !in_flight()) {
+        linger_close();
+        return;
+    }
     start_idle_timer();
     send_pending_continue();
     wait_for_bytes();
