--- a/src/include/balsampost/entry/caller_session.h
+++ b/src/include/balsampost/entry/caller_session.h
@@ -27,10 +27,10 @@
     core::time_point idle_since() const { return m_idle_since; }
     /// Closes the connection if it is idle. Reads first, so that a request that has arrived is not lost.
     void close_if_idle();
-    /// Starts no further request behind one that is not answered yet.
-    void begin_stop() { m_pipeline.stop(); }
-    /// Answers every started request with an error; requests that were not started get no answer.
-    void fail_in_flight();
+    /// Refuses what cannot be finished. The connection ends after the answers to all requests that were read.
+    void begin_stop();
+    /// Answers every request that was read with an error and ends the connection.
+    void fail_in_flight(caller_listener::unanswered_counts& counts);
     void close();
 
 private:
@@ -62,7 +62,9 @@
     void on_timeout();
 
     void wait_for_bytes();
-    /// Reads the available bytes, up to a limit. Returns false if the caller has disconnected.
+    /// Reads and parses the available bytes, up to a limit. Returns false if the caller has disconnected.
+    bool receive();
+    /// Receives, and starts the requests that are complete.
     bool read_available();
     void on_readable();
     void parse();
@@ -77,11 +79,14 @@
     exchange& append(bool idempotent);
 
     void start_requests();
+    std::vector<std::shared_ptr<forwarding>> active_forwarders() const;
     void on_answer(ticket t, caller_answer answer);
     void write_next();
     void write_rest(std::size_t offset);
     void on_written();
     void release_bytes(std::uint64_t& accounted);
+    /// Whether bytes of a request that is not complete were received.
+    bool partly_read() const { return !m_reading_ended && (m_message_started || !m_unparsed.empty()); }
     void linger_close();
     void drain();
 
@@ -104,7 +109,8 @@
     bool m_header_parsed = false;
     bool m_continue_pending = false; // The caller expects a 100 Continue.
     bool m_reading_ended = false;
-    bool m_keep_alive = true; // Whether the connection stays open after the current answer.
+    bool m_stop_ended = false; // The connection ends after the requests that were read.
+    bool m_keep_alive = true;  // Whether the connection stays open after the current answer.
     bool m_lingering = false;
     bool m_closed = false;
 };
--- a/src/libbalsampost_entry/caller_listener.cpp
+++ b/src/libbalsampost_entry/caller_listener.cpp
@@ -24,6 +24,7 @@
     if (m_room != nullptr) {
         m_room->count(core::descriptor_use::callers, [this] { return m_sessions.size(); });
     }
+    m_forwarding.stop = &m_stop;
 }
 
 caller_listener::~caller_listener() = default;
@@ -67,9 +68,10 @@
     return m_sessions.size() < before;
 }
 
-void caller_listener::begin_stop() {
-    m_stopping = true;
-    for (const auto& s : m_sessions) {
+void caller_listener::begin_stop(const core::stop_window& window) {
+    m_stop = window;
+    const auto sessions = m_sessions; // Some end.
+    for (const auto& s : sessions) {
         s->begin_stop();
     }
 }
@@ -82,11 +84,13 @@
     }
 }
 
-void caller_listener::fail_in_flight() {
+caller_listener::unanswered_counts caller_listener::fail_in_flight() {
+    unanswered_counts counts;
     const auto sessions = m_sessions;
     for (const auto& s : sessions) {
-        s->fail_in_flight();
+        s->fail_in_flight(counts);
     }
+    return counts;
 }
 
 void caller_listener::close_all() {
--- a/src/libbalsampost_entry/caller_session.cpp
+++ b/src/libbalsampost_entry/caller_session.cpp
@@ -35,7 +35,6 @@
 constexpr core::milliseconds body_timeout{30'000}; // For receiving a whole body.
 constexpr std::uint64_t body_memory_divisor = 3;   // Bodies may use a third of the memory.
 constexpr core::milliseconds memory_full_retry_after{500};
-constexpr core::milliseconds stopping_retry_after{100}; // Short: other instances are available.
 constexpr core::milliseconds linger_timeout{1'000};
 
 std::string_view view(net::beast::string_view text) {
@@ -99,9 +98,6 @@
     error_code ec;
     m_socket.set_option(net::tcp::no_delay(true), ec);
     m_socket.non_blocking(true, ec);
-    if (m_owner.m_stopping) {
-        m_pipeline.stop();
-    }
     start_message();
     start_idle_timer();
     wait_for_bytes();
@@ -141,15 +137,29 @@
     close();
 }
 
-void caller_session::fail_in_flight() {
+std::vector<std::shared_ptr<forwarding>> caller_session::active_forwarders() const {
     std::vector<std::shared_ptr<forwarding>> active;
     for (const auto& e : m_exchanges) {
         if (e.forwarder) {
             active.push_back(e.forwarder);
         }
     }
-    for (const auto& forwarder : active) {
-        forwarder->expire();
+    return active;
+}
+
+void caller_session::begin_stop() {
+    for (const auto& forwarder : active_forwarders()) {
+        forwarder->begin_stop();
+    }
+}
+
+void caller_session::fail_in_flight(caller_listener::unanswered_counts& counts) {
+    m_stop_ended = true;
+    for (const auto& forwarder : active_forwarders()) {
+        ++(forwarder->expire() ? counts.sent : counts.unsent);
+    }
+    if (!m_closed && !m_lingering && !in_flight()) {
+        linger_close();
     }
 }
 
@@ -237,7 +247,7 @@
     }
 }
 
-bool caller_session::read_available() {
+bool caller_session::receive() {
     auto& buffer = m_owner.m_read_buffer;
     buffer.resize(read_size);
     const auto self = shared_from_this();
@@ -258,7 +268,14 @@
             parse();
         }
     }
-    // A disconnect was detected by the reads above, so no request of a disconnected caller is forwarded.
+    return !m_closed;
+}
+
+bool caller_session::read_available() {
+    // A disconnect is detected before, so no request of a disconnected caller is forwarded.
+    if (!receive()) {
+        return false;
+    }
     start_requests();
     write_next();
     return !m_closed;
@@ -382,13 +399,6 @@
         answer_and_close(status_bad_request, std::nullopt);
         return;
     }
-    if (m_owner.m_refusing_requests) {
-        telemetry::log(event::request_refused, {{"request", std::string(view(message[id_header]))},
-                                                {"reason", "the instance is shutting down"}});
-        m_owner.m_forwarding.metrics.refused();
-        answer_and_close(status_unavailable, stopping_retry_after);
-        return;
-    }
     const auto routes = m_owner.m_forwarding.state.routes();
     const auto* route =
         routes ? routes->find(view(message[http::field::host]), std::string(target)) : nullptr;
@@ -460,9 +470,15 @@
     if (m_closed || m_writing || m_lingering || !m_pipeline.can_write()) {
         return;
     }
+    const bool stopping = m_owner.m_stop.stopping();
+    const auto self = shared_from_this();
+    // Answers a request that has arrived meanwhile instead of closing the connection in front of it.
+    if (stopping && m_exchanges.size() == 1 && !m_exchanges.front().is_last && !receive()) {
+        return;
+    }
     auto e = std::move(m_exchanges.front());
-    m_keep_alive = !e.is_last && (!m_owner.m_stopping || m_pipeline.started_behind_first());
     m_exchanges.pop_front();
+    m_keep_alive = !e.is_last && (!stopping || !m_exchanges.empty() || (partly_read() && !m_stop_ended));
     m_pipeline.pop();
     m_answer_bytes = e.accounted_bytes;
     m_writing = true;
@@ -514,6 +530,13 @@
     }
     parse();
     start_requests();
+    if (m_closed || m_lingering) {
+        return;
+    }
+    if (m_stop_ended && !in_flight()) {
+        linger_close();
+        return;
+    }
     start_idle_timer();
     send_pending_continue();
     wait_for_bytes();
