entry: many pipelined requests on one connection do not end the process

An answer that is there as soon as its request is read was written within the handling of that request, and its end read and handled the next request: one frame of each inside the other until the stack was full. Now the outermost write_next writes all answers that are due in a loop, and calls from within it return; the depth no longer depends on what callers send.

--- a/src/include/balsampost/entry/caller_session.h
+++ b/src/include/balsampost/entry/caller_session.h
@@ -75,7 +75,10 @@
 
     void start_requests();
     void on_answer(ticket t, caller_answer answer);
+    /// Writes all answers that are next in order.
     void write_next();
+    /// Returns whether an answer was written as a whole.
+    bool write_one();
     void write_rest(std::size_t offset);
     void on_written();
     void release_bytes(std::uint64_t& accounted);
@@ -97,6 +100,7 @@
     std::uint64_t m_answer_bytes = 0;        // Accounted for the answer being written.
     bool m_waiting_for_bytes = false;        // A read wait is pending.
     bool m_writing = false;
+    bool m_in_write_loop = false;
     bool m_message_started = false;
     bool m_header_parsed = false;
     bool m_continue_pending = false; // The caller expects a 100 Continue.
--- a/src/libbalsampost_entry/accept_limit_test.cpp
+++ b/src/libbalsampost_entry/accept_limit_test.cpp
@@ -114,6 +114,7 @@
     CPPUNIT_TEST(readiness_is_answered_among_many_silent_connections);
     CPPUNIT_TEST(accepting_without_descriptors_does_not_spin);
     CPPUNIT_TEST(connections_without_room_blame_no_server);
+    CPPUNIT_TEST(many_pipelined_requests_do_not_exhaust_the_stack);
     CPPUNIT_TEST_SUITE_END();
 
     void callers_beyond_the_share_are_closed_at_once() {
@@ -193,6 +194,29 @@
         CPPUNIT_ASSERT(results[1].end == exchange_end::not_sent && results[1].no_room);
         CPPUNIT_ASSERT(!results[1].refused);
     }
+
+    /// Requests that are refused as soon as they are read were handled one inside the other.
+    void many_pipelined_requests_do_not_exhaust_the_stack() {
+        small_instance i;
+        constexpr int count = 20'000;
+        std::string text;
+        for (int n = 1; n < count; ++n) {
+            text += "GET /x HTTP/1.1\r\nHost: h\r\n\r\n";
+        }
+        text += last_request;
+        auto socket = i.connection(i.callers.port());
+        std::string answers;
+        bool ended = false;
+        net::asio::async_write(socket, net::asio::buffer(text), [](auto, auto) {});
+        net::asio::async_read(socket, net::asio::dynamic_buffer(answers), [&](auto, auto) { ended = true; });
+        CPPUNIT_ASSERT(i.run_until([&] { return ended; }, 60s));
+        int answered = 0;
+        for (auto at = answers.find("HTTP/1.1 503"); at != std::string::npos;
+             at = answers.find("HTTP/1.1 503", at + 1)) {
+            ++answered;
+        }
+        CPPUNIT_ASSERT_EQUAL(count, answered);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(accept_limit_test);
--- a/src/libbalsampost_entry/caller_session.cpp
+++ b/src/libbalsampost_entry/caller_session.cpp
@@ -449,8 +449,18 @@
 // Writing
 
 void caller_session::write_next() {
+    if (m_in_write_loop) {
+        return; // Called by a request that was answered as soon as it was read: the loop goes on with it.
+    }
+    m_in_write_loop = true;
+    while (write_one()) {
+    }
+    m_in_write_loop = false;
+}
+
+bool caller_session::write_one() {
     if (m_closed || m_writing || m_lingering || !m_pipeline.can_write()) {
-        return;
+        return false;
     }
     auto e = std::move(m_exchanges.front());
     m_keep_alive = !e.is_last && (!m_owner.m_stopping || m_pipeline.started_behind_first());
@@ -468,12 +478,15 @@
     const auto done = m_socket.write_some(buffers, ec);
     if (!ec && done == size) {
         on_written();
-    } else if (ec && ec != net::asio::error::would_block) {
+        return true;
+    }
+    if (ec && ec != net::asio::error::would_block) {
         m_writing = false;
         close();
     } else {
         write_rest(ec ? 0 : done);
     }
+    return false;
 }
 
 void caller_session::write_rest(std::size_t offset) {
