--- a/src/libbalsampost_entry/caller_session.cpp
+++ b/src/libbalsampost_entry/caller_session.cpp
@@ -467,8 +467,18 @@
 // Writing
 
 void caller_session::write_next() {
+    if (m_in_write_loop) {
+        return; // Called by a request that was answered as soon as it was read: the loop goes on with it.
+    }
+    m_in_write_loop = true;
+    while (write_one()) {
+    }
+    m_in_write_loop = false;
+}
+
+bool caller_session::write_one() {
     if (m_closed || m_writing || m_lingering || !m_pipeline.can_write()) {
-        return;
+        return false;
     }
     const bool stopping = m_owner.m_stop.stopping();
     const auto self = shared_from_this();
@@ -492,12 +502,15 @@
     const auto done = m_socket.write_some(buffers, ec);
     if (!ec && done == size) {
         on_written();
-    } else if (ec && ec != net::asio::error::would_block) {
+        return true;
+    }
+    if (ec && ec != net::asio::error::would_block) {
         m_writing = false;
         close();
     } else {
         write_rest(ec ? 0 : done);
     }
+    return false;
 }
 
 void caller_session::write_rest(std::size_t offset) {
