entry: serve a request that meets the idle timeout, and log the unanswered

Callers that reused a kept connection just as its idle timer ran out saw a reset: the timer's action closed the socket without looking for bytes that had already arrived. A raised idle_timeout also did not reach connections whose timer was running, though callers go by the limit in force. And a request whose connection this instance closed was logged as if its caller had left, or had no line at all.

The idle timeout now reads before it closes and measures by the limit in force.

--- a/src/include/balsampost/entry/caller_session.h
+++ b/src/include/balsampost/entry/caller_session.h
@@ -29,7 +29,8 @@
     void begin_stop() { m_pipeline.stop(); }
     /// Answers every started request with an error; requests that were not started get no answer.
     void fail_in_flight();
-    void close();
+    /// Closes the connection. Each request that was read and has no whole answer gets a line with `reason`.
+    void close(std::string_view reason);
 
 private:
     /// A request and its answer, once there is one.
@@ -58,6 +59,9 @@
     void start_idle_timer();
     void cancel_timer();
     void on_timeout();
+    /// The caller has closed or reset its connection.
+    void on_disconnect();
+    void log_unanswered(std::string_view reason) const;
 
     void wait_for_bytes();
     /// Reads the available bytes, up to a limit. Returns false if the caller has disconnected.
@@ -91,7 +95,9 @@
     std::deque<exchange> m_exchanges; // One per request of m_pipeline, in the same order.
     std::optional<timers::id> m_timer;
     std::string m_head;
+    std::string m_answered_id; // Request id of the answer being written.
     std::string m_body;
+    core::time_point m_idle_since{};         // When the connection last became idle.
     core::time_point m_message_started_at{}; // When the first byte of the current message arrived.
     std::uint64_t m_reserved_bytes = 0;      // Accounted for the message being read.
     std::uint64_t m_answer_bytes = 0;        // Accounted for the answer being written.
--- a/src/include/balsampost/entry/forwarding.h
+++ b/src/include/balsampost/entry/forwarding.h
@@ -51,6 +51,8 @@
     /// The caller has closed its connection: no further attempt is made, and an open attempt of an idempotent
     /// request is aborted. The handler is not called.
     void caller_disconnected();
+    /// This instance closes the caller's connection: as `caller_disconnected`, but without its line.
+    void abandon();
 
 private:
     /// Runs `step`. If it throws, the request alone fails: 502 if it may have run, otherwise 503.
--- a/src/libbalsampost_entry/caller_listener.cpp
+++ b/src/libbalsampost_entry/caller_listener.cpp
@@ -91,7 +91,7 @@
 void caller_listener::close_all() {
     const auto sessions = m_sessions;
     for (const auto& s : sessions) {
-        s->close();
+        s->close("the process ends");
     }
     error_code ec;
     m_acceptor.close(ec);
--- a/src/libbalsampost_entry/caller_session.cpp
+++ b/src/libbalsampost_entry/caller_session.cpp
@@ -110,20 +110,33 @@
 template <class Step>
 void caller_session::guard(std::string_view place, Step&& step) {
     if (!contained(place, std::forward<Step>(step))) {
-        contained("close of a connection", [&] { close(); });
+        contained("close of a connection", [&] { close("a handler of the connection failed"); });
     }
 }
 
-void caller_session::close() {
+void caller_session::log_unanswered(std::string_view reason) const {
+    const auto log = [&](const std::string& id) {
+        telemetry::log(event::request_unanswered, {{"request", id}, {"reason", std::string(reason)}});
+    };
+    if (m_writing) {
+        log(m_answered_id);
+    }
+    for (const auto& e : m_exchanges) {
+        log(e.request_id);
+    }
+}
+
+void caller_session::close(std::string_view reason) {
     if (m_closed) {
         return;
     }
     m_closed = true;
+    log_unanswered(reason);
     cancel_timer();
     auto exchanges = std::exchange(m_exchanges, {});
     for (auto& e : exchanges) {
         if (e.forwarder) {
-            e.forwarder->caller_disconnected();
+            e.forwarder->abandon();
         }
         release_bytes(e.accounted_bytes);
     }
@@ -134,11 +147,24 @@
     m_owner.m_sessions.erase(shared_from_this());
 }
 
+void caller_session::on_disconnect() {
+    for (auto& e : m_exchanges) {
+        if (e.forwarder) {
+            e.forwarder->caller_disconnected();
+        } else {
+            telemetry::log(event::caller_disconnected, {{"request", e.request_id}});
+        }
+        release_bytes(e.accounted_bytes);
+    }
+    m_exchanges.clear();
+    close("the caller closed the connection while the answer was written");
+}
+
 void caller_session::close_if_idle() {
     if (m_closed || !idle() || !read_available() || !idle()) {
         return;
     }
-    close();
+    close("the instance stops");
 }
 
 void caller_session::fail_in_flight() {
@@ -176,6 +202,7 @@
 
 void caller_session::start_idle_timer() {
     if (!in_flight() && !m_message_started && !m_closed) {
+        m_idle_since = now();
         start_timer(limits().idle_timeout);
     }
 }
@@ -188,8 +215,19 @@
 }
 
 void caller_session::on_timeout() {
+    if (idle()) {
+        // A longer timeout may be in force by now, and callers reuse connections by it.
+        if (const auto left = m_idle_since + limits().idle_timeout - now(); left > core::duration{0}) {
+            start_timer(std::chrono::ceil<core::milliseconds>(left));
+            return;
+        }
+        // A request that has arrived is served: the close would reset the connection under it.
+        if (!read_available() || !idle()) {
+            return;
+        }
+    }
     if (!in_flight()) {
-        close(); // There is no complete request to answer.
+        close("no complete request arrived in time");
         return;
     }
     m_reading_ended = true; // Complete requests precede the incomplete one and are still answered.
@@ -223,7 +261,7 @@
             return;
         }
         if (ec) {
-            self->close();
+            self->on_disconnect();
             return;
         }
         self->guard("bytes of a caller", [&] { self->on_readable(); });
@@ -249,7 +287,7 @@
             break;
         }
         if (ec) {
-            close();
+            on_disconnect();
             return false;
         }
         if (!m_reading_ended) {
@@ -465,8 +503,9 @@
     m_pipeline.pop();
     m_answer_bytes = e.accounted_bytes;
     m_writing = true;
-    m_head = answer_head(
-        e.answer, {m_owner.m_forwarding.adapter.headers().request_id, e.request_id, e.is_head, m_keep_alive});
+    m_answered_id = std::move(e.request_id);
+    m_head = answer_head(e.answer, {m_owner.m_forwarding.adapter.headers().request_id, m_answered_id,
+                                    e.is_head, m_keep_alive});
     m_body = has_no_body(e.answer.status, e.is_head) ? std::string() : std::move(e.answer.body);
     const std::array<net::asio::const_buffer, 2> buffers{net::asio::buffer(m_head),
                                                          net::asio::buffer(m_body)};
@@ -476,8 +515,7 @@
     if (!ec && done == size) {
         on_written();
     } else if (ec && ec != net::asio::error::would_block) {
-        m_writing = false;
-        close();
+        close("the answer could not be written: " + ec.message());
     } else {
         write_rest(ec ? 0 : done);
     }
@@ -495,8 +533,7 @@
             return;
         }
         if (ec) {
-            self->m_writing = false;
-            self->close();
+            self->close("the answer could not be written: " + ec.message());
             return;
         }
         self->guard("rest of an answer", [&] { self->on_written(); });
@@ -525,11 +562,12 @@
     error_code ec;
     m_socket.shutdown(net::tcp::socket::shutdown_send, ec);
     if (ec) {
-        close();
+        close("the connection ends with an earlier answer");
         return;
     }
     m_lingering = true;
     m_unparsed = {};
+    log_unanswered("the connection ends with an earlier answer");
     for (auto& e : m_exchanges) {
         release_bytes(e.accounted_bytes);
     }
@@ -553,7 +591,7 @@
         if (!ec || ec == net::asio::error::would_block) {
             self->drain();
         } else {
-            self->close();
+            self->close("the caller closed the connection");
         }
     });
 }
--- a/src/libbalsampost_entry/entry.cpp
+++ b/src/libbalsampost_entry/entry.cpp
@@ -133,7 +133,9 @@
     wait_for_signal();
     start_watches();
     report_loads();
-    if (!run_event_loop(m_context)) {
+    const bool succeeded = run_event_loop(m_context);
+    contained("close of callers' connections", [&] { m_callers.close_all(); });
+    if (!succeeded) {
         telemetry::log(event::stopped, {{"reason", "a handler failed"}});
         return false;
     }
--- a/src/libbalsampost_entry/forwarding.cpp
+++ b/src/libbalsampost_entry/forwarding.cpp
@@ -401,11 +401,18 @@
     if (m_finished) {
         return;
     }
-    m_caller_disconnected = true;
     telemetry::log(event::caller_disconnected, {{"request", std::string(id())},
                                                 {"server", m_exchange_open ? m_server : ""},
                                                 {"arrivals", std::to_string(m_delivered_attempts)}});
     m_context.metrics.caller_disconnected();
+    abandon();
+}
+
+void forwarding::abandon() {
+    if (m_finished) {
+        return;
+    }
+    m_caller_disconnected = true;
     if (m_exchange_open && m_route != nullptr && m_route->idempotent()) {
         http_client::abort(m_exchange);
         m_exchange_open = false;
