--- a/src/libbalsampost_entry/caller_listener.cpp
+++ b/src/libbalsampost_entry/caller_listener.cpp
@@ -96,7 +96,7 @@
 void caller_listener::close_all() {
     const auto sessions = m_sessions;
     for (const auto& s : sessions) {
-        s->close();
+        s->close("the process ends");
     }
     m_accepts.close();
 }
--- a/src/libbalsampost_entry/entry.cpp
+++ b/src/libbalsampost_entry/entry.cpp
@@ -127,6 +127,7 @@
     if (m_start_failed) {
         return false;
     }
+    contained("close of callers' connections", [&] { m_callers.close_all(); });
     if (!loop_ended) {
         telemetry::log(event::stopped, {{"reason", "a handler failed"}});
         return false;
