entry: refuse uploads that a stop cannot hold before they have arrived

Callers that upload during a stop were read to the last byte before they were refused, or passed on late; an upload that was still arriving at the end of the grace time ended with its connection and no answer.

The cause is that only whole requests were judged. Now the header is: an upload that comes in a stop, and one in arrival when SIGTERM comes, gets 503 at once if its deadline lies behind the end of the work, and no 100 Continue. The instance reads on as long as bytes come, so that closing does not reset the connection in front of the answer. The early answers carry the request's id, and the log has it as well.

Before the fix uploads_are_judged_when_their_header_or_the_stop_arrives waited for the refusal until the run was stopped after 20 s. It covers bodies with a length, in chunks and with Expect: 100-continue.

--- a/src/include/balsampost/entry/caller_session.h
+++ b/src/include/balsampost/entry/caller_session.h
@@ -65,6 +65,12 @@
     void parse();
     bool parse_next();
     bool on_header();
+    /// Whether the body of a request is arriving.
+    bool body_arriving() const { return m_header_parsed && !m_reading_ended; }
+    /// Refuses the request whose body is arriving if the instance stops too early to finish it. Returns
+    /// whether it did.
+    bool refuse_upload_for_stop();
+    void refuse_upload(const char* reason);
     bool reserve_body(std::uint64_t size);
     void send_pending_continue();
     void reject(net::error_code ec);
--- a/src/include/balsampost/entry/forwarding.h
+++ b/src/include/balsampost/entry/forwarding.h
@@ -43,6 +43,11 @@
     bool holds(core::time_point deadline) const { return stop == nullptr || stop->holds(deadline); }
 };
 
+/// Why a request is refused during a stop.
+inline constexpr const char* stop_refusal_reason =
+    "the instance is shutting down and may not finish the request in time";
+inline constexpr core::milliseconds stopping_retry_after{100}; ///< Short: other instances are available.
+
 /// Returns the time by which a request that arrived at `arrived` is answered: the sooner of its own deadline
 /// and its route's timeout. Empty if no route matches it.
 std::optional<core::time_point> answer_deadline(const forwarding_context& context,
--- a/src/libbalsampost_entry/caller_listener_test.cpp
+++ b/src/libbalsampost_entry/caller_listener_test.cpp
@@ -100,6 +100,8 @@
     CPPUNIT_TEST_SUITE(caller_listener_test);
     CPPUNIT_TEST(requests_in_flight_at_shutdown_are_answered);
     CPPUNIT_TEST(requests_that_outlast_the_grace_time_are_refused);
+    CPPUNIT_TEST(uploads_are_judged_when_their_header_or_the_stop_arrives);
+    CPPUNIT_TEST(upload_arriving_at_the_end_of_a_stop_is_answered);
     CPPUNIT_TEST(late_requests_during_shutdown_are_refused);
     CPPUNIT_TEST(request_of_a_disconnected_caller_is_not_forwarded);
     CPPUNIT_TEST(bodies_in_chunks_count_by_their_size);
@@ -214,6 +216,74 @@
         }
     }
 
+    /// Guards against uploads that a stop reads to their end, passes on and cuts, or refuses with a reset.
+    void uploads_are_judged_when_their_header_or_the_stop_arrives() {
+        const std::string length = "Content-Length: 200000\r\n";
+        const std::string chunks = "Transfer-Encoding: chunked\r\n";
+        const std::string expect = length + "Expect: 100-continue\r\n";
+        const std::string body(200'000, 'x');
+        for (const auto& framing : {length, chunks, expect}) {
+            const auto whole = framing == chunks ? "30D40\r\n" + body + "\r\n0\r\n\r\n" : body;
+            for (const bool arriving : {false, true}) { // When the stop begins.
+                for (const bool held : {false, true}) {
+                    const auto name = framing + (arriving ? "arriving " : "later ") + (held ? "held" : "");
+                    stopping_instance i({ok});
+                    const auto socket = i.connect();
+                    const auto begin_stop = [&] { i.callers.begin_stop(core::stop_window(now() - 2s, 30s)); };
+                    if (!arriving) {
+                        begin_stop();
+                    }
+                    net::asio::write(*socket,
+                                     net::asio::buffer("POST /x HTTP/1.1\r\nHost: h\r\nRequest-Id: req-1\r\n"
+                                                       "Deadline-Ms: " +
+                                                       std::string(held ? "20000" : "40000") + "\r\n" +
+                                                       framing + "\r\n" + whole.substr(0, 1'000)));
+                    if (arriving) {
+                        i.run_until([&] { return i.callers.body_bytes() > 0; });
+                        begin_stop();
+                    }
+                    if (!held) {
+                        i.run_until(
+                            [&] { return socket->available() > 0; }); // Refused before it has arrived.
+                    }
+                    bool written = false;
+                    const auto rest = net::asio::buffer(whole) + 1'000;
+                    net::asio::async_write(*socket, rest, [&](net::error_code ec, std::size_t) {
+                        CPPUNIT_ASSERT_MESSAGE(name, !ec);
+                        written = true;
+                    });
+                    i.run_until([&] { return written; });
+                    const auto text = i.answer(socket);
+                    const auto expected = held ? "HTTP/1.1 200" : "HTTP/1.1 503";
+                    CPPUNIT_ASSERT_MESSAGE(name + text, text.find(expected) != std::string::npos);
+                    CPPUNIT_ASSERT_EQUAL_MESSAGE(name, held || (arriving && framing == expect),
+                                                 text.find("503") == std::string::npos ||
+                                                     text.starts_with("HTTP/1.1 100"));
+                    CPPUNIT_ASSERT_MESSAGE(name, text.find("Request-Id: req-1") != std::string::npos);
+                    CPPUNIT_ASSERT_EQUAL_MESSAGE(name, held, i.server.requests() > 0);
+                    i.callers.close_all();
+                    CPPUNIT_ASSERT_EQUAL_MESSAGE(name, std::uint64_t{0}, i.callers.body_bytes());
+                }
+            }
+        }
+    }
+
+    /// Guards against an upload whose connection ends without an answer at the end of a stop.
+    void upload_arriving_at_the_end_of_a_stop_is_answered() {
+        stopping_instance i({});
+        const auto socket = i.connect();
+        net::asio::write(*socket, net::asio::buffer(std::string(
+                                      "POST /x HTTP/1.1\r\nHost: h\r\nRequest-Id: req-1\r\nDeadline-Ms: 9\r\n"
+                                      "Content-Length: 100\r\n\r\nx")));
+        i.run_until([&] { return i.callers.body_bytes() > 0; });
+        i.callers.begin_stop(core::stop_window(now(), 6s));
+        const auto unanswered = i.callers.fail_in_flight();
+        CPPUNIT_ASSERT(unanswered.sent == 0 && unanswered.unsent == 1);
+        const auto text = i.answer(socket);
+        CPPUNIT_ASSERT_MESSAGE(text, text.starts_with("HTTP/1.1 503"));
+        CPPUNIT_ASSERT(text.find("Connection: close") != std::string::npos);
+    }
+
     void late_requests_during_shutdown_are_refused() {
         stopping_instance i({"silence"});
         i.callers.begin_stop(core::stop_window(now() - 3'200ms, 6s));
--- a/src/libbalsampost_entry/caller_session.cpp
+++ b/src/libbalsampost_entry/caller_session.cpp
@@ -143,6 +143,10 @@
     for (const auto& forwarder : active_forwarders()) {
         forwarder->begin_stop();
     }
+    if (!m_closed && body_arriving() && refuse_upload_for_stop()) {
+        start_requests();
+        write_next();
+    }
 }
 
 void caller_session::fail_in_flight(caller_listener::unanswered_counts& counts) {
@@ -150,6 +154,12 @@
     for (const auto& forwarder : active_forwarders()) {
         ++(forwarder->expire() ? counts.sent : counts.unsent);
     }
+    if (!m_closed && body_arriving()) {
+        refuse_upload("the shutdown ended before the request's body arrived");
+        ++counts.unsent;
+        start_requests();
+        write_next();
+    }
     if (!m_closed && !m_lingering && !in_flight()) {
         linger_close();
     }
@@ -313,6 +323,9 @@
     if (m_parser->is_done()) {
         return true;
     }
+    if (refuse_upload_for_stop()) {
+        return false;
+    }
     start_timer(body_timeout);
     const auto length = m_parser->content_length();
     if (!reserve_body(length ? *length : unknown_body_bytes)) {
@@ -325,6 +338,34 @@
     return true;
 }
 
+bool caller_session::refuse_upload_for_stop() {
+    const auto& forwarding = m_owner.m_forwarding;
+    if (!m_owner.m_stop.stopping()) {
+        return false;
+    }
+    const auto& message = m_parser->get();
+    const auto deadline =
+        answer_deadline(forwarding, message, std::string(view(message.target())), m_message_started_at);
+    if (!deadline || forwarding.holds(*deadline)) {
+        return false;
+    }
+    refuse_upload(stop_refusal_reason);
+    return true;
+}
+
+void caller_session::refuse_upload(const char* reason) {
+    const auto& message = m_parser->get();
+    const bool is_head = message.method() == http::verb::head;
+    const std::string id(view(message[m_owner.m_forwarding.adapter.headers().request_id]));
+    telemetry::log(event::request_refused, {{"request", id}, {"reason", reason}});
+    m_owner.m_forwarding.metrics.refused();
+    m_parser.reset(); // Frees what was read of the body.
+    release_bytes(m_reserved_bytes);
+    answer_and_close(status_unavailable, stopping_retry_after);
+    m_exchanges.back().request_id = id;
+    m_exchanges.back().is_head = is_head;
+}
+
 /// Raises the memory accounted for the message being read to `size`. Returns false if the request was refused
 /// because all bodies together exceed their share of the memory.
 bool caller_session::reserve_body(std::uint64_t size) {
@@ -372,6 +413,7 @@
 void caller_session::answer_and_close(unsigned status, std::optional<core::milliseconds> retry_after) {
     cancel_timer();
     m_reading_ended = true;
+    m_continue_pending = false;
     m_unparsed = {};
     auto& e = append(false);
     e.is_last = true;
@@ -565,6 +607,10 @@
         for (int i = 0; i < max_reads_per_event && !ec; ++i) {
             self->m_socket.read_some(net::asio::buffer(self->m_owner.m_read_buffer), ec);
         }
+        // A caller may read the answer to its upload only after the last byte; the stop bounds the time.
+        if (self->m_owner.m_stop.stopping() && !self->m_stop_ended) {
+            self->start_timer(linger_timeout);
+        }
         if (!ec || ec == net::asio::error::would_block) {
             self->drain();
         } else {
--- a/src/libbalsampost_entry/forwarding.cpp
+++ b/src/libbalsampost_entry/forwarding.cpp
@@ -39,7 +39,6 @@
 // a server asked for, they would be refused again.
 constexpr double max_jitter = 1.4;
 constexpr double min_pause_jitter = 1.0;
-constexpr core::milliseconds stopping_retry_after{100}; // Short: other instances are available.
 constexpr core::milliseconds min_time_left{10}; // With less time left a server cannot finish a request.
 
 /// Whether callers take `status` as a guarantee that the request did not run and never will.
@@ -423,7 +422,7 @@
     if (m_context.holds(m_deadline)) {
         return false;
     }
-    refuse("the instance is shutting down and may not finish the request in time", stopping_retry_after);
+    refuse(stop_refusal_reason, stopping_retry_after);
     return true;
 }
 
