entry: close callers that take nothing of their answer any more

A caller that stopped reading held its answers, its connection and the stop of the instance without end: the rest of an answer was written with no bound in time, as the timers were for reading only.

A socket that takes no byte of an answer for idle_timeout, which is how long a caller may be idle, is closed now, and its requests are logged as request_unanswered with "the caller stopped reading". Progress starts the time anew, so slow readers are not affected.

--- a/src/include/balsampost/entry/caller_session.h
+++ b/src/include/balsampost/entry/caller_session.h
@@ -81,7 +81,10 @@
     void start_requests();
     void on_answer(ticket t, caller_answer answer);
     void write_next();
-    void write_rest(std::size_t offset);
+    /// Writes what follows the first `written` bytes of the answer.
+    void write_rest(std::size_t written);
+    void start_write_timer();
+    void cancel_write_timer();
     void on_written();
     void release_bytes(std::uint64_t& accounted);
     void linger_close();
@@ -94,6 +97,7 @@
     core::request_pipeline m_pipeline;
     std::deque<exchange> m_exchanges; // One per request of m_pipeline, in the same order.
     std::optional<timers::id> m_timer;
+    std::optional<timers::id> m_write_timer; // Set while the socket does not take the whole answer.
     std::string m_head;
     std::string m_answered_id; // Request id of the answer being written.
     std::string m_body;
--- a/src/libbalsampost_entry/caller_kernel_test.cpp
+++ b/src/libbalsampost_entry/caller_kernel_test.cpp
@@ -18,6 +18,7 @@
     CPPUNIT_TEST_SUITE(caller_kernel_test);
     CPPUNIT_TEST(request_that_arrives_at_the_idle_timeout_is_answered);
     CPPUNIT_TEST(idle_connection_outlives_a_timeout_that_was_raised);
+    CPPUNIT_TEST(caller_that_stops_reading_is_closed);
     CPPUNIT_TEST_SUITE_END();
 
     /// Guards against a reset of a request that reached the socket before the idle timer's action ran.
@@ -54,6 +55,25 @@
         caller_rig<>::send(*caller);
         CPPUNIT_ASSERT(rig.answer(*caller).starts_with("HTTP/1.1 200"));
     }
+
+    /// Guards against answers that stay in memory, and hold up the stop, for a caller that never reads them.
+    void caller_that_stops_reading_is_closed() {
+        const std::string body(100'000, 'x');
+        const std::string head =
+            "HTTP/1.1 200 OK\r\nIntegrity: i\r\nRequest-Id: ID\r\nContent-Length: 100000\r\n\r\n";
+        constexpr int requests = 120; // More bytes than the socket buffers hold.
+        caller_rig<> rig(std::deque<std::string>(requests, head + body));
+        core::caller_limits limits;
+        limits.idle_timeout = 300ms;
+        rig.set_limits(limits);
+        const auto caller = rig.connect();
+        for (int i = 0; i < requests; ++i) {
+            caller_rig<>::send(*caller);
+        }
+        CPPUNIT_ASSERT(rig.run_until([&] { return rig.server.requests() > 16; }));
+        CPPUNIT_ASSERT(rig.run_until([&] { return rig.callers.connection_count() == 0; }));
+        CPPUNIT_ASSERT(rig.server.requests() < requests); // It was closed while it had answers to read.
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(caller_kernel_test);
--- a/src/libbalsampost_entry/caller_session.cpp
+++ b/src/libbalsampost_entry/caller_session.cpp
@@ -133,6 +133,7 @@
     m_closed = true;
     log_unanswered(reason);
     cancel_timer();
+    cancel_write_timer();
     auto exchanges = std::exchange(m_exchanges, {});
     for (auto& e : exchanges) {
         if (e.forwarder) {
@@ -521,14 +522,16 @@
     }
 }
 
-void caller_session::write_rest(std::size_t offset) {
+void caller_session::write_rest(std::size_t written) {
+    auto offset = written;
     std::array<net::asio::const_buffer, 2> buffers{net::asio::buffer(m_head), net::asio::buffer(m_body)};
     for (auto& b : buffers) {
         const auto part = std::min(offset, b.size());
         b += part;
         offset -= part;
     }
-    net::asio::async_write(m_socket, buffers, [self = shared_from_this()](error_code ec, std::size_t) {
+    start_write_timer();
+    m_socket.async_write_some(buffers, [self = shared_from_this(), written](error_code ec, std::size_t n) {
         if (self->m_closed) {
             return;
         }
@@ -536,10 +539,36 @@
             self->close("the answer could not be written: " + ec.message());
             return;
         }
-        self->guard("rest of an answer", [&] { self->on_written(); });
+        self->guard("rest of an answer", [&] {
+            if (written + n < self->m_head.size() + self->m_body.size()) {
+                self->write_rest(written + n);
+                return;
+            }
+            self->cancel_write_timer();
+            self->on_written();
+        });
     });
 }
 
+/// A caller that takes no bytes for the idle timeout would hold its answer's memory without end.
+void caller_session::start_write_timer() {
+    cancel_write_timer();
+    m_write_timer =
+        m_owner.m_forwarding.timer_queue.at(now() + limits().idle_timeout, [weak = weak_from_this()] {
+            if (const auto self = weak.lock()) {
+                self->m_write_timer.reset();
+                self->guard("timer of a write", [&] { self->close("the caller stopped reading"); });
+            }
+        });
+}
+
+void caller_session::cancel_write_timer() {
+    if (m_write_timer) {
+        m_owner.m_forwarding.timer_queue.cancel(*m_write_timer);
+        m_write_timer.reset();
+    }
+}
+
 void caller_session::on_written() {
     m_writing = false;
     m_body = {};
