core: a cell's table names a standby that joins after its last change

Cause: the standby was copied into the table when a table was committed, and nothing committed one when the standby changed. Beside load it joins after the last change. Homes that lose the holder have no second address for their heartbeats then. The coordinator now proposes a table for a new standby; the loss of one waits for the next change, so that a standby that comes and goes causes no stream of tables.

--- a/src/balsampostd/cell_runner.cpp
+++ b/src/balsampostd/cell_runner.cpp
@@ -482,6 +482,7 @@
     out.limits.max_share_percent = placement.max_share_percent;
     out.divided_by_key = m_config.divided_by_key;
     out.slots = m_config.slots;
+    out.standby = m_lease.known().standby;
     return out;
 }
 
--- a/src/include/balsampost/core/cell_coordinator.h
+++ b/src/include/balsampost/core/cell_coordinator.h
@@ -40,6 +40,8 @@
     placement_limits limits;
     bool divided_by_key = true;
     std::uint32_t slots = 1;
+    /// The standby of the coordinator's instance; empty if it has none.
+    instance_id standby;
 };
 
 /// The safety rules of the coordinator. Tests disable them one at a time to show that the random walks of
--- a/src/libbalsampost_core/cell_coordinator.cpp
+++ b/src/libbalsampost_core/cell_coordinator.cpp
@@ -341,6 +341,9 @@
     changed = choose_homes(next, view, now) || changed;
     changed = place_slices(next, view, now) || changed;
     changed = remove_servers(next, view) || changed;
+    // Homes and operators learn a new standby by the table. The loss of one can wait for the next change.
+    changed = (!view.standby.empty() && view.standby != m_table.standby) || changed;
+    next.standby = view.standby;
     if (changed) {
         m_proposal = std::move(next);
     }
--- a/src/libbalsampost_core/ownership_test.cpp
+++ b/src/libbalsampost_core/ownership_test.cpp
@@ -255,6 +255,7 @@
     CPPUNIT_TEST(walks_find_each_disabled_rule);
     CPPUNIT_TEST(lost_home_keeps_the_owner);
     CPPUNIT_TEST(replaced_home_requires_the_new_table);
+    CPPUNIT_TEST(standby_that_joins_after_the_last_change_is_published);
     CPPUNIT_TEST(home_lease_outlasts_authority_by_at_most_the_margin);
     CPPUNIT_TEST_SUITE_END();
 
@@ -361,6 +362,25 @@
                                      s.coordinator.table().servers.at(0).home.name);
     }
 
+    /// Guards against a table that names no standby for as long as nothing else of the cell changes.
+    void standby_that_joins_after_the_last_change_is_published() {
+        coordinator_with_home s;
+        const auto version = s.coordinator.table().version;
+        s.step();
+        CPPUNIT_ASSERT(version == s.coordinator.table().version);
+        s.view.standby = home_id(1);
+        s.step();
+        CPPUNIT_ASSERT(s.coordinator.table().standby == home_id(1));
+        CPPUNIT_ASSERT(s.coordinator.table().version > version);
+        const auto joined = s.coordinator.table().version;
+        s.view.standby = {};
+        s.step();
+        CPPUNIT_ASSERT(joined == s.coordinator.table().version);
+        s.view.standby = home_id(0);
+        s.step();
+        CPPUNIT_ASSERT(s.coordinator.table().standby == home_id(0));
+    }
+
     void home_lease_outlasts_authority_by_at_most_the_margin() {
         struct row {
             int authority_ms;
