entry: do not send on a connection whose end has already arrived

Requests failed as "the response ended early" or with a reset when a server closed an idle connection and the event loop had not yet come to that event: the request was sent on it, counted as possibly run, and a repeat took from the retry budget, which a busy instance hits most.

A connection is now looked at with a peek before its reuse; an end, an error or unasked bytes that wait in the socket rule it out. The costs are one call to the system for each reused connection.

Evidence: connection_that_the_server_has_closed_is_not_reused, where data and end arrive together, saw the second exchange lost on the former code; with the change both are answered, and all 61 tests of entry_test pass.

--- a/src/libbalsampost_entry/http_client.cpp
+++ b/src/libbalsampost_entry/http_client.cpp
@@ -74,7 +74,9 @@
         close(true);
     }
 
-    bool usable(core::time_point at) const { return m_open && !m_busy && at < m_reusable_until; }
+    bool usable(core::time_point at) {
+        return m_open && !m_busy && at < m_reusable_until && nothing_received();
+    }
 
     void close(bool reset) {
         if (m_closed) {
@@ -95,6 +97,15 @@
     const core::endpoint& to() const { return m_to; }
 
 private:
+    /// Whether the idle connection has neither ended nor received bytes that the event loop has yet to
+    /// handle.
+    bool nothing_received() {
+        char byte = 0;
+        error_code ec;
+        m_socket.receive(net::asio::buffer(&byte, 1), net::tcp::socket::message_peek, ec);
+        return ec == net::asio::error::would_block;
+    }
+
     void start_response() {
         m_parser = std::make_unique<response_parser>();
         m_parser->header_limit(response_header_bytes);
