entry: tell a caller that an unsent request did not run

At the deadline or at the end of a stop, a request whose connection to its server was still being established got 504, so a caller that may not repeat it had to take it as possibly run.

The cause is that every open attempt counted as sent. The client knows whether it has written a byte; abort() now returns it, and the request is refused with 503 if none was.

unsent_request_is_refused_at_the_end_of_a_stop failed before (the request counted as sent). The test of uploads in a stop sends a small body where the server answers and 20 MB where the upload is refused, with bounded waits; it passed before and after.

--- a/src/include/balsampost/entry/http_client.h
+++ b/src/include/balsampost/entry/http_client.h
@@ -70,8 +70,8 @@
     using handle = std::weak_ptr<http_connection>;
     handle start(const core::endpoint& to, exchange_request request, exchange_handler done);
     /// Resets the connection, so that bytes that are not delivered yet never will be. The handler is not
-    /// called.
-    static void abort(const handle& exchange);
+    /// called. Returns whether any byte of the request may have been sent.
+    static bool abort(const handle& exchange);
 
     std::size_t connections_to(const core::endpoint& to) const;
     void close_idle(const core::endpoint& to);
--- a/src/libbalsampost_entry/caller_listener_test.cpp
+++ b/src/libbalsampost_entry/caller_listener_test.cpp
@@ -102,6 +102,7 @@
     CPPUNIT_TEST(requests_that_outlast_the_grace_time_are_refused);
     CPPUNIT_TEST(uploads_are_judged_when_their_header_or_the_stop_arrives);
     CPPUNIT_TEST(upload_arriving_at_the_end_of_a_stop_is_answered);
+    CPPUNIT_TEST(unsent_request_is_refused_at_the_end_of_a_stop);
     CPPUNIT_TEST(late_requests_during_shutdown_are_refused);
     CPPUNIT_TEST(request_of_a_disconnected_caller_is_not_forwarded);
     CPPUNIT_TEST(bodies_in_chunks_count_by_their_size);
@@ -218,17 +219,23 @@
 
     /// Guards against uploads that a stop reads to their end, passes on and cuts, or refuses with a reset.
     void uploads_are_judged_when_their_header_or_the_stop_arrives() {
-        const std::string length = "Content-Length: 200000\r\n";
+        const std::string length = "Content-Length: ";
         const std::string chunks = "Transfer-Encoding: chunked\r\n";
-        const std::string expect = length + "Expect: 100-continue\r\n";
-        const std::string body(200'000, 'x');
+        const std::string expect = "Expect: 100-continue\r\n" + length;
         for (const auto& framing : {length, chunks, expect}) {
-            const auto whole = framing == chunks ? "30D40\r\n" + body + "\r\n0\r\n\r\n" : body;
             for (const bool arriving : {false, true}) { // When the stop begins.
                 for (const bool held : {false, true}) {
                     const auto name = framing + (arriving ? "arriving " : "later ") + (held ? "held" : "");
+                    // The server reads a small body at once; a large one fills the sockets' buffers.
+                    const std::string body(held ? 6'000 : 20'000'000, 'x');
+                    const auto whole = framing == chunks
+                                           ? (held ? "1770\r\n" : "1312D00\r\n") + body + "\r\n0\r\n\r\n"
+                                           : body;
+                    const auto header =
+                        framing == chunks ? framing : framing + std::to_string(body.size()) + "\r\n";
                     stopping_instance i({ok});
                     const auto socket = i.connect();
+                    const auto give_up = now() + 10s;
                     const auto begin_stop = [&] { i.callers.begin_stop(core::stop_window(now() - 2s, 30s)); };
                     if (!arriving) {
                         begin_stop();
@@ -237,14 +244,14 @@
                                      net::asio::buffer("POST /x HTTP/1.1\r\nHost: h\r\nRequest-Id: req-1\r\n"
                                                        "Deadline-Ms: " +
                                                        std::string(held ? "20000" : "40000") + "\r\n" +
-                                                       framing + "\r\n" + whole.substr(0, 1'000)));
+                                                       header + "\r\n" + whole.substr(0, 1'000)));
                     if (arriving) {
                         i.run_until([&] { return i.callers.body_bytes() > 0; });
                         begin_stop();
                     }
                     if (!held) {
                         i.run_until(
-                            [&] { return socket->available() > 0; }); // Refused before it has arrived.
+                            [&] { return socket->available() > 0 || now() > give_up; }); // Refused early.
                     }
                     bool written = false;
                     const auto rest = net::asio::buffer(whole) + 1'000;
@@ -252,7 +259,8 @@
                         CPPUNIT_ASSERT_MESSAGE(name, !ec);
                         written = true;
                     });
-                    i.run_until([&] { return written; });
+                    i.run_until([&] { return written || now() > give_up; });
+                    CPPUNIT_ASSERT_MESSAGE(name, written);
                     const auto text = i.answer(socket);
                     const auto expected = held ? "HTTP/1.1 200" : "HTTP/1.1 503";
                     CPPUNIT_ASSERT_MESSAGE(name + text, text.find(expected) != std::string::npos);
@@ -284,6 +292,23 @@
         CPPUNIT_ASSERT(text.find("Connection: close") != std::string::npos);
     }
 
+    /// Guards against telling callers that a request may have run which the stop ended before it was sent.
+    void unsent_request_is_refused_at_the_end_of_a_stop() {
+        stopping_instance i({"silence"});
+        const auto socket = i.request();
+        while (i.callers.in_flight() == 0) { // Until the request waits for its connection to the server.
+            i.context.restart();
+            i.context.run_one_for(5ms);
+        }
+        i.callers.begin_stop(core::stop_window(now() - 6s, 6s));
+        const auto unanswered = i.callers.fail_in_flight();
+        CPPUNIT_ASSERT(unanswered.sent == 0 && unanswered.unsent == 1);
+        const auto text = i.answer(socket);
+        CPPUNIT_ASSERT_MESSAGE(text, text.starts_with("HTTP/1.1 503"));
+        i.run_until([&] { return i.callers.connection_count() == 0; });
+        CPPUNIT_ASSERT_EQUAL(0, i.server.requests());
+    }
+
     void late_requests_during_shutdown_are_refused() {
         stopping_instance i({"silence"});
         i.callers.begin_stop(core::stop_window(now() - 3'200ms, 6s));
--- a/src/libbalsampost_entry/forwarding.cpp
+++ b/src/libbalsampost_entry/forwarding.cpp
@@ -437,9 +437,8 @@
         return;
     }
     if (m_exchange_open) {
-        http_client::abort(m_exchange);
+        m_may_have_run = http_client::abort(m_exchange) || m_may_have_run;
         m_exchange_open = false;
-        m_may_have_run = true;
         const auto at = now();
         if (auto* service = m_context.state.find(m_service)) {
             service->pool.attempt_ended(
--- a/src/libbalsampost_entry/http_client.cpp
+++ b/src/libbalsampost_entry/http_client.cpp
@@ -69,9 +69,10 @@
         }
     }
 
-    void abort() {
+    bool abort() {
         m_done = nullptr;
         close(true);
+        return m_send_started;
     }
 
     bool usable(core::time_point at) const { return m_open && !m_busy && at < m_reusable_until; }
@@ -442,10 +443,9 @@
     return connection;
 }
 
-void http_client::abort(const handle& exchange) {
-    if (const auto connection = exchange.lock()) {
-        connection->abort();
-    }
+bool http_client::abort(const handle& exchange) {
+    const auto connection = exchange.lock();
+    return !connection || connection->abort();
 }
 
 std::size_t http_client::connections_to(const core::endpoint& to) const {
