entry: a watch of the store goes on after its handler has failed

An instance whose handler of a list or change failed once with an error of the system would never have asked the store again: the next call was made at the end of the same handler, and the loop went on without it.

Such a failure now counts as an answer that can't be used, so the kind is listed again after the usual delay, which also repairs what was applied in part. Other exceptions still end the process on purpose.

--- a/src/include/balsampost/entry/kind_watch.h
+++ b/src/include/balsampost/entry/kind_watch.h
@@ -71,6 +71,9 @@
 private:
     void list();
     void watch();
+    /// Runs `step`. An error of the system in a handler of the watch leads to another list.
+    template <class Step>
+    void guard(Step&& step);
     void list_received(store_result<object_list>& answer, core::time_point sent);
     void changes_received(store_result<object_changes>& answer, core::time_point sent);
     /// Earliest time at which the changes in the answer to a watch call sent at `sent` may have been made.
--- a/src/libbalsampost_entry/event_loop_test.cpp
+++ b/src/libbalsampost_entry/event_loop_test.cpp
@@ -1,6 +1,7 @@
 // Handlers that throw: the other handlers, timers, callers and chains go on.
 #include "balsampost/entry/event_loop.h"
 
+#include "balsampost/entry/kind_watch.h"
 #include "caller_rig.h"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -27,6 +28,21 @@
 const std::string unreadable =
     "HTTP/1.1 200 OK\r\nIntegrity: i\r\nLoad: x\r\nRequest-Id: ID\r\nContent-Length: 0\r\n\r\n";
 
+/// Answers each list at once and counts them.
+struct counting_store : object_store {
+    void list(const std::string&, store_handler<object_list> done) override {
+        ++lists;
+        done(object_list{{}, 1});
+    }
+    void watch(const std::string&, std::uint64_t, core::milliseconds,
+               store_handler<object_changes>) override {}
+    void read(const std::string&, const std::string&, bool,
+              store_handler<std::optional<stored_object>>) override {}
+    void write(const std::string&, const std::string&, const std::string&, std::uint64_t,
+               store_handler<std::uint64_t>) override {}
+    int lists = 0;
+};
+
 } // namespace
 
 class event_loop_test : public CppUnit::TestFixture {
@@ -35,6 +51,7 @@
     CPPUNIT_TEST(half_changed_state_ends_the_loop);
     CPPUNIT_TEST(failed_timer_leaves_the_others_armed);
     CPPUNIT_TEST(request_whose_answer_cannot_be_decoded_fails_alone);
+    CPPUNIT_TEST(watch_whose_handler_fails_lists_again);
     CPPUNIT_TEST_SUITE_END();
 
     /// Guards against the end of a process at work because one call to the system failed.
@@ -78,6 +95,26 @@
         const auto second = rig.answer(*caller);
         CPPUNIT_ASSERT_MESSAGE(second, second.starts_with("HTTP/1.1 200"));
     }
+
+    /// Guards against a watch that never asks the store again.
+    void watch_whose_handler_fails_lists_again() {
+        net::asio::io_context context;
+        timers clock(context);
+        counting_store store;
+        net::asio::post(context, [&] {
+            std::make_shared<kind_watch>(store, clock, "k", 60s,
+                                         watch_handlers{[&](const auto&, auto) {
+                                                            if (store.lists == 1) {
+                                                                throw std::runtime_error("a device");
+                                                            }
+                                                        },
+                                                        [](const auto&) {}, [] {}, [](auto) {}, [](auto) {},
+                                                        [](auto) {}})
+                ->start();
+        });
+        CPPUNIT_ASSERT(run_event_loop(context));
+        CPPUNIT_ASSERT_EQUAL(2, store.lists);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(event_loop_test);
--- a/src/libbalsampost_entry/kind_watch.cpp
+++ b/src/libbalsampost_entry/kind_watch.cpp
@@ -1,9 +1,11 @@
 // The list-and-watch loop, and the updates of other instances.
 #include "balsampost/entry/kind_watch.h"
 
+#include "balsampost/entry/event_loop.h"
 #include "balsampost/telemetry/log.h"
 
 #include <algorithm>
+#include <stdexcept>
 #include <utility>
 
 namespace balsampost::entry {
@@ -59,11 +61,21 @@
 void kind_watch::list() {
     m_store.list(m_kind, [self = shared_from_this(), sent = now()](store_result<object_list> answer) {
         if (!self->m_stopped) {
-            self->list_received(answer, sent);
+            self->guard([&] { self->list_received(answer, sent); });
         }
     });
 }
 
+template <class Step>
+void kind_watch::guard(Step&& step) {
+    try {
+        step();
+    } catch (const std::runtime_error&) {
+        log_current_exception("watch of the store", "the kind is listed again");
+        failed(store_fault::malformed, true);
+    }
+}
+
 void kind_watch::list_received(store_result<object_list>& answer, core::time_point sent) {
     if (!answer) {
         failed(answer.error(), true);
@@ -115,7 +127,7 @@
     m_store.watch(m_kind, m_revision, wait,
                   [self = shared_from_this(), sent = now()](store_result<object_changes> answer) {
                       if (!self->m_stopped) {
-                          self->changes_received(answer, sent);
+                          self->guard([&] { self->changes_received(answer, sent); });
                       }
                   });
 }
