--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # A thin layer over CMake; INSTALL.md describes the plain steps.
 BUILD ?= build
 
-.PHONY: all deps test demo bench capacity format lint clean
+.PHONY: all deps test demo bench capacity soak format lint clean
 
 all:
 	cmake -S . -B $(BUILD) -G Ninja
@@ -16,6 +16,11 @@
 demo: deps all
 	bash testsuite/common/demo.sh $(BUILD)
 
+# Seeded trouble for real processes; findings.txt and their logs are in $(BUILD)/soak.
+SEED ?= 1
+soak: all
+	$(BUILD)/platform/site/balsampost-soak --entry $(BUILD)/platform/balsampost-entry --folder $(BUILD)/soak --seed $(SEED) --seconds 60
+
 bench: all
 	bash bench/run.sh $(BUILD)
 
