entry: a stop ends within the grace time even if one of its steps fails

A step of the stop that throws an error of the system (a timer's action, the close of a connection) is logged and the loop goes on, but the steps that follow were never armed: the process would wait for SIGKILL, and requests in flight with it.

The end of the process is armed first, before any step that can fail, and the last poll no longer needs a limit of its own.

--- a/src/libbalsampost_entry/entry_stop.cpp
+++ b/src/libbalsampost_entry/entry_stop.cpp
@@ -21,6 +21,8 @@
     telemetry::log(event::stopping, {{"in_flight", std::to_string(m_callers.in_flight())}});
     m_stopping = true;
     m_stop = core::stop_window(now(), m_settings.bounds.stop_time);
+    m_timers.at(m_stop.process_end(), [this] { end(); }); // Holds even if a step of the stop fails.
+    m_timers.at(m_stop.listen_end(), [this] { finish_stop(); });
     m_callers.begin_stop(m_stop);
     for (const auto& [name, runner] : m_key_services) {
         runner->resign([this, name = name] {
@@ -33,7 +35,6 @@
             }
         });
     }
-    m_timers.at(m_stop.listen_end(), [this] { finish_stop(); });
 }
 
 void entry::finish_stop() {
@@ -57,12 +58,10 @@
 
 void entry::finish_answers() {
     m_callers.close_idle_connections();
-    const auto at = now();
-    if (m_callers.connection_count() == 0 || at >= m_stop.process_end()) {
+    if (m_callers.connection_count() == 0) {
         end();
     } else {
-        m_timers.at(std::min(at + last_answers_poll_interval, m_stop.process_end()),
-                    [this] { finish_answers(); });
+        m_timers.at(now() + last_answers_poll_interval, [this] { finish_answers(); });
     }
 }
 
