entry: an upload behind a request that the end of a stop cuts is answered

A caller that had pipelined an upload behind a request got no answer to it when the stop ended: the cut of the earlier request wrote the last answer and closed the connection before the upload's turn came. The uploads that still arrive are refused first now.

--- a/src/libbalsampost_entry/caller_pipeline_test.cpp
+++ b/src/libbalsampost_entry/caller_pipeline_test.cpp
@@ -148,6 +148,7 @@
     CPPUNIT_TEST(disconnect_starts_no_further_requests);
     CPPUNIT_TEST(shutdown_answers_every_request_that_was_read);
     CPPUNIT_TEST(end_of_a_shutdown_answers_waiting_requests);
+    CPPUNIT_TEST(end_of_a_shutdown_answers_an_upload_behind_a_request);
     CPPUNIT_TEST(request_arriving_while_idle_connections_close_is_answered);
     CPPUNIT_TEST(random_streams_splits_and_answer_orders);
     CPPUNIT_TEST_SUITE_END();
@@ -341,6 +342,20 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, i.server.seen().size());
     }
 
+    /// Guards against an upload without an answer behind a request that the end of a stop cuts.
+    void end_of_a_shutdown_answers_an_upload_behind_a_request() {
+        pipelining_instance i;
+        i.server.hold();
+        pipelining_caller c(i);
+        c.send(get("/once/a") + "POST /once/b HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nx");
+        i.run_until([&] { return i.server.seen().size() == 1; });
+        i.settle();
+        i.callers.begin_stop(core::stop_window(now(), 90s));
+        i.callers.fail_in_flight();
+        i.run_until([&] { return c.closed; });
+        CPPUNIT_ASSERT_MESSAGE(c.text, (c.answers() == targets{"504", "503"}));
+    }
+
     /// Guards against losing a request that arrives just when a shutdown closes connections it considers
     /// idle.
     void request_arriving_while_idle_connections_close_is_answered() {
--- a/src/libbalsampost_entry/caller_session.cpp
+++ b/src/libbalsampost_entry/caller_session.cpp
@@ -186,15 +186,16 @@
 
 void caller_session::fail_in_flight(caller_listener::unanswered_counts& counts) {
     m_stop_ended = true;
-    for (const auto& forwarder : active_forwarders()) {
-        ++(forwarder->expire() ? counts.sent : counts.unsent);
-    }
+    // Before the others: their last answer would end the connection.
     if (!m_closed && body_arriving()) {
         refuse_upload("the shutdown ended before the request's body arrived");
         ++counts.unsent;
-        start_requests();
-        write_next();
     }
+    for (const auto& forwarder : active_forwarders()) {
+        ++(forwarder->expire() ? counts.sent : counts.unsent);
+    }
+    start_requests();
+    write_next();
     if (!m_closed && !m_lingering && !in_flight()) {
         linger_close();
     }
