entry: nothing is read behind an answer that closes; slow readers are kept

A request that a caller sent during a stop while an earlier answer with Connection: close was still being written went to a server, and the connection closed without its answer (2 arrivals, 1 answer): reading went on until the last byte was written. It now ends with the decision to close.

A caller that read 32 KiB each 20 ms was closed as one that had stopped reading, with 3,768,320 of 3,900,000 bytes: the system reports a socket as writable only when a large part of its buffer is free, so that no write does not mean no progress. The timer now asks for the bytes that the peer has not acknowledged and closes only if none was taken since it was set.

--- a/src/include/balsampost/entry/caller_session.h
+++ b/src/include/balsampost/entry/caller_session.h
@@ -98,6 +98,7 @@
     /// Writes what follows the first `written` bytes of the answer.
     void write_rest(std::size_t written);
     void start_write_timer();
+    void on_write_timeout();
     void cancel_write_timer();
     void on_written();
     void release_bytes(std::uint64_t& accounted);
@@ -114,6 +115,7 @@
     std::deque<exchange> m_exchanges; // One per request of m_pipeline, in the same order.
     std::optional<timers::id> m_timer;
     std::optional<timers::id> m_write_timer; // Set while the socket does not take the whole answer.
+    std::size_t m_queued_bytes = 0;          // In the socket's send buffer when the timer was set.
     std::string m_head;
     std::string m_answered_id; // Request id of the answer being written.
     std::string m_body;
--- a/src/include/balsampost/net/asio.h
+++ b/src/include/balsampost/net/asio.h
@@ -64,6 +64,10 @@
 /// Returns whether `socket` is open, the peer has not closed it, and no received data is waiting to be read.
 bool is_open_and_idle(tcp::socket& socket);
 
+/// Returns the number of bytes that were written to `socket` and that the peer has not acknowledged; 0 if the
+/// system does not tell.
+std::size_t queued_bytes(tcp::socket& socket);
+
 /// Binds a socket to `local`, with SO_REUSEADDR. Connections are refused until `listen` is called on it.
 /// Throws `boost::system::system_error` if the address is unavailable.
 tcp::acceptor bind_to(asio::io_context& context, const core::endpoint& local);
--- a/src/libbalsampost_entry/caller_session.cpp
+++ b/src/libbalsampost_entry/caller_session.cpp
@@ -570,6 +570,10 @@
     auto e = std::move(m_exchanges.front());
     m_exchanges.pop_front();
     m_keep_alive = !e.is_last && (!stopping || !m_exchanges.empty() || (partly_read() && !m_stop_ended));
+    if (!m_keep_alive) { // What arrives while the answer is written belongs to another connection.
+        m_reading_ended = true;
+        m_unparsed = {};
+    }
     m_pipeline.pop();
     m_answer_bytes = e.accounted_bytes;
     m_writing = true;
@@ -625,15 +629,26 @@
 /// A caller that takes no bytes for the idle timeout would hold its answer's memory without end.
 void caller_session::start_write_timer() {
     cancel_write_timer();
+    m_queued_bytes = net::queued_bytes(m_socket);
     m_write_timer =
         m_owner.m_forwarding.timer_queue.at(now() + limits().idle_timeout, [weak = weak_from_this()] {
             if (const auto self = weak.lock()) {
                 self->m_write_timer.reset();
-                self->guard("timer of a write", [&] { self->close("the caller stopped reading"); });
+                self->guard("timer of a write", [&] { self->on_write_timeout(); });
             }
         });
 }
 
+/// The system reports a socket as writable only when a large part of its buffer is free, so that a caller may
+/// have read much without a write.
+void caller_session::on_write_timeout() {
+    if (net::queued_bytes(m_socket) < m_queued_bytes) {
+        start_write_timer();
+    } else {
+        close("the caller stopped reading");
+    }
+}
+
 void caller_session::cancel_write_timer() {
     if (m_write_timer) {
         m_owner.m_forwarding.timer_queue.cancel(*m_write_timer);
--- a/src/libbalsampost_net/asio.cpp
+++ b/src/libbalsampost_net/asio.cpp
@@ -1,6 +1,9 @@
 // Timer and socket helpers based on Boost.Asio.
 #include "balsampost/net/asio.h"
 
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
+
 namespace balsampost::net {
 
 awaitable<void> wait_for(core::duration delay) {
@@ -21,6 +24,11 @@
     return ec == asio::error::would_block;
 }
 
+std::size_t queued_bytes(tcp::socket& socket) {
+    int bytes = 0;
+    return ::ioctl(socket.native_handle(), SIOCOUTQ, &bytes) == 0 ? static_cast<std::size_t>(bytes) : 0;
+}
+
 tcp::acceptor bind_to(asio::io_context& context, const core::endpoint& local) {
     tcp::acceptor acceptor(context);
     const auto address = to_tcp(local);
