telemetry: test of the last line of a process that exhausts its stack

A process that SIGSEGV ends because its stack is full writes no line, since the handler runs on the same stack: sigaction has no SA_ONSTACK and no sigaltstack.

--- a/src/libbalsampost_telemetry/last_line_test.cpp
+++ b/src/libbalsampost_telemetry/last_line_test.cpp
@@ -49,12 +49,20 @@
     return out;
 }
 
+/// Uses a frame of 1 KiB for each level.
+int recurse(int level) {
+    volatile char frame[1024] = {};
+    frame[0] = static_cast<char>(level);
+    return level == 0 ? 0 : recurse(level - 1) + frame[0];
+}
+
 } // namespace
 
 class last_line_test : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(last_line_test);
     CPPUNIT_TEST(process_ended_by_a_signal_says_which);
     CPPUNIT_TEST(uncaught_exception_of_a_thread_is_named);
+    CPPUNIT_TEST(process_that_exhausts_its_stack_says_so);
     CPPUNIT_TEST_SUITE_END();
 
     /// Guards against processes that end without a line.
@@ -74,6 +82,13 @@
         const auto line = nlohmann::json::parse(ended.output);
         CPPUNIT_ASSERT_EQUAL(std::string("uncaught exception: a device"), line["reason"].get<std::string>());
     }
+
+    /// Guards against a stack overflow that ends the process without a line.
+    void process_that_exhausts_its_stack_says_so() {
+        const auto ended = run_child([] { ::_exit(recurse(1'000'000)); });
+        CPPUNIT_ASSERT(WIFSIGNALED(ended.status) && WTERMSIG(ended.status) == SIGSEGV);
+        CPPUNIT_ASSERT_MESSAGE("no line", !ended.output.empty());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(last_line_test);
