telemetry: a process that exhausts its stack says so in its last line

An end by SIGSEGV for want of stack, as pipelined requests caused it, left no line: the handler ran on the exhausted stack. The thread that starts the program now has a stack of its own for signals; other threads have none, and their overflow still leaves no line.

--- a/src/libbalsampost_telemetry/last_line.cpp
+++ b/src/libbalsampost_telemetry/last_line.cpp
@@ -20,6 +20,7 @@
 namespace {
 
 constexpr std::size_t max_line_bytes = 512;
+constexpr std::size_t signal_stack_bytes = 64U << 10U;
 constexpr int output_wait_ms = 100; // A full pipe must not keep the process from ending.
 constexpr std::string_view time_placeholder = "0000-00-00T00:00:00.000000Z";
 
@@ -128,15 +129,25 @@
     std::abort();
 }
 
+/// Gives the calling thread a stack for signals: its own may be what is exhausted.
+void use_signal_stack() {
+    static std::array<char, signal_stack_bytes> bytes;
+    stack_t stack{};
+    stack.ss_sp = bytes.data();
+    stack.ss_size = bytes.size();
+    static_cast<void>(::sigaltstack(&stack, nullptr)); // Without it only that case has no line.
+}
+
 } // namespace
 
 void write_last_line_on_failure(const log_settings& settings) {
     current_settings() = settings;
+    use_signal_stack();
     for (std::size_t i = 0; i < failures.size(); ++i) {
         prepared_lines()[i] = prepare(settings, failures[i].name);
         struct sigaction action {};
         action.sa_handler = on_fatal_signal;
-        action.sa_flags = static_cast<int>(SA_RESETHAND);
+        action.sa_flags = static_cast<int>(SA_RESETHAND | SA_ONSTACK);
         static_cast<void>(::sigaction(failures[i].signal, &action, nullptr));
     }
     static_cast<void>(std::set_terminate(on_terminate));
