entry: one caller's pipelined requests do not hold up a stop

The loop that writes answers reads again before each closing answer, so it went on for as long as bytes were there.

At most 64 answers are written in one event; the rest follows behind what else is waiting.

--- a/src/libbalsampost_entry/caller_session.cpp
+++ b/src/libbalsampost_entry/caller_session.cpp
@@ -20,10 +20,12 @@
 namespace {
 
 constexpr std::size_t read_size = 64U << 10U;
-constexpr int max_reads_per_event = 4;                 // Keeps one busy connection from starving the others.
-constexpr std::size_t max_unparsed_bytes = 64U << 10U; // Received ahead of unanswered requests.
-constexpr std::size_t max_pipelined_requests = 16;     // Unanswered requests of one connection.
-constexpr std::size_t max_idle_capacity = 4U << 10U;   // Bytes that an empty buffer may keep allocated.
+// Both keep one busy connection from starving the others and the timers.
+constexpr int max_reads_per_event = 4;
+constexpr int max_answers_per_event = 64;
+constexpr std::size_t max_unparsed_bytes = 64U << 10U;   // Received ahead of unanswered requests.
+constexpr std::size_t max_pipelined_requests = 16;       // Unanswered requests of one connection.
+constexpr std::size_t max_idle_capacity = 4U << 10U;     // Bytes that an empty buffer may keep allocated.
 constexpr std::uint64_t unknown_body_bytes = 16U << 10U; // First accounted for a body of unknown length.
 constexpr unsigned status_ok = 200;
 constexpr unsigned status_no_content = 204;
@@ -552,9 +554,18 @@
         return; // Called by a request that was answered as soon as it was read: the loop goes on with it.
     }
     m_in_write_loop = true;
-    while (write_one()) {
+    int written = 0;
+    while (written < max_answers_per_event && write_one()) {
+        ++written;
     }
     m_in_write_loop = false;
+    if (written == max_answers_per_event && !m_closed) {
+        net::asio::post(m_owner.m_context, [self = shared_from_this()] {
+            if (!self->m_closed && !self->m_lingering) {
+                self->guard("further answers", [&] { self->write_next(); });
+            }
+        });
+    }
 }
 
 bool caller_session::write_one() {
