entry: idle connections free their answers; a stop leaves time for its exit

A kept connection held the memory of its last answer until the next one: assigning an empty string keeps the memory. With four connections and answers of 3.9 MB, 15,792,560 bytes were held while nothing was in flight; idle_connections_hold_no_memory_of_their_last_answers failed with this figure before and passes now.

Half of the margin is left now, and at the end of work the listener closes, so that callers that come later are refused by the system and go elsewhere.

--- a/src/include/balsampost/entry/caller_session.h
+++ b/src/include/balsampost/entry/caller_session.h
@@ -4,6 +4,7 @@
 
 #include "balsampost/core/request_pipeline.h"
 #include "balsampost/entry/caller_listener.h"
+#include "balsampost/entry/event_loop.h"
 
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
@@ -136,4 +137,11 @@
     bool m_closed = false;
 };
 
+template <class Step>
+void caller_session::guard(std::string_view place, Step&& step) {
+    if (!contained(place, std::forward<Step>(step))) {
+        contained("close of a connection", [&] { close("a handler of the connection failed"); });
+    }
+}
+
 } // namespace balsampost::entry
--- a/src/include/balsampost/entry/forwarding.h
+++ b/src/include/balsampost/entry/forwarding.h
@@ -112,9 +112,10 @@
     std::string m_server; // Server of the open or last attempt.
     core::time_point m_exchange_sent_at{};
     std::vector<std::string> m_tried_servers; // Servers of ended attempts; not selected again.
-    std::uint32_t m_delivered_attempts = 0;   // Attempts that may have reached a server.
-    std::uint32_t m_unreached_attempts = 0;   // Attempts without a connection.
-    bool m_may_have_run = false;              // Some attempt may have run the request.
+    std::uint32_t m_attempts_started = 0;
+    std::uint32_t m_delivered_attempts = 0; // Attempts that may have reached a server.
+    std::uint32_t m_unreached_attempts = 0; // Attempts without a connection.
+    bool m_may_have_run = false;            // Some attempt may have run the request.
     bool m_caller_disconnected = false;
     bool m_finished = false;
     bool m_waiting_for_owner = false;
--- a/src/include/balsampost/entry/settings.h
+++ b/src/include/balsampost/entry/settings.h
@@ -21,7 +21,7 @@
 struct listen_settings {
     core::endpoint callers;
     core::endpoint readiness;
-    core::endpoint peers; ///< UDP, for reports and updates between instances.
+    core::endpoint peers;   ///< UDP, for reports and updates between instances.
     core::endpoint metrics; ///< Port 0: no metrics are served.
 };
 
--- a/src/libbalsampost_core/stop_window.cpp
+++ b/src/libbalsampost_core/stop_window.cpp
@@ -21,7 +21,7 @@
     const auto margin = std::clamp(grace / grace_per_margin, min_margin, max_margin);
     m_work_end = std::max(signalled, signalled + grace - margin);
     m_listen_end = std::min(signalled + balancer_removal_time, m_work_end);
-    m_process_end = m_work_end + 2 * margin / 3;
+    m_process_end = m_work_end + margin / 2;
 }
 
 } // namespace balsampost::core
--- a/src/libbalsampost_entry/accept_loop.cpp
+++ b/src/libbalsampost_entry/accept_loop.cpp
@@ -53,7 +53,7 @@
 /// The connection stays in the queue, so that the next call would fail at once with the same error.
 void accept_loop::pause(error_code ec) {
     note_refused(ec.message());
-    m_short_of();
+    contained("making room for connections", [&] { m_short_of(); });
     m_timer.expires_after(pause_after_error);
     m_timer.async_wait([this](error_code cancelled) {
         if (!cancelled && m_acceptor.is_open()) {
--- a/src/libbalsampost_entry/caller_listener.cpp
+++ b/src/libbalsampost_entry/caller_listener.cpp
@@ -85,6 +85,8 @@
 }
 
 caller_listener::unanswered_counts caller_listener::fail_in_flight() {
+    m_accepts.accept_queued(m_context);
+    m_accepts.close(); // Callers that connect from now on are refused at once and go elsewhere.
     unanswered_counts counts;
     const auto sessions = m_sessions;
     for (const auto& s : sessions) {
--- a/src/libbalsampost_entry/caller_session.cpp
+++ b/src/libbalsampost_entry/caller_session.cpp
@@ -1,4 +1,4 @@
-// Reads requests, starts their forwarding and writes answers.
+// Reads requests and starts their forwarding.
 #include "balsampost/entry/caller_session.h"
 
 #include "balsampost/entry/entry_metrics.h"
@@ -20,16 +20,11 @@
 namespace {
 
 constexpr std::size_t read_size = 64U << 10U;
-// Both keep one busy connection from starving the others and the timers.
-constexpr int max_reads_per_event = 4;
-constexpr int max_answers_per_event = 64;
-constexpr std::size_t max_unparsed_bytes = 64U << 10U;   // Received ahead of unanswered requests.
-constexpr std::size_t max_pipelined_requests = 16;       // Unanswered requests of one connection.
-constexpr std::size_t max_idle_capacity = 4U << 10U;     // Bytes that an empty buffer may keep allocated.
+constexpr int max_reads_per_event = 4;                 // Keeps one busy connection from starving the others.
+constexpr std::size_t max_unparsed_bytes = 64U << 10U; // Received ahead of unanswered requests.
+constexpr std::size_t max_pipelined_requests = 16;     // Unanswered requests of one connection.
+constexpr std::size_t max_idle_capacity = 4U << 10U;   // Bytes that an empty buffer may keep allocated.
 constexpr std::uint64_t unknown_body_bytes = 16U << 10U; // First accounted for a body of unknown length.
-constexpr unsigned status_ok = 200;
-constexpr unsigned status_no_content = 204;
-constexpr unsigned status_not_modified = 304;
 constexpr unsigned status_bad_request = 400;
 constexpr unsigned status_too_large = 413;
 constexpr unsigned status_header_too_large = 431;
@@ -37,58 +32,14 @@
 constexpr core::milliseconds body_timeout{30'000}; // For receiving a whole body.
 constexpr std::uint64_t body_memory_divisor = 3;   // Bodies may use a third of the memory.
 constexpr core::milliseconds memory_full_retry_after{500};
-constexpr core::milliseconds linger_timeout{1'000};
 
-std::string_view view(net::beast::string_view text) {
-    return {text.data(), text.size()};
-}
-
-bool has_no_body(unsigned status, bool is_head) {
-    return is_head || status < status_ok || status == status_no_content || status == status_not_modified;
-}
-
-/// Properties of the request and connection that the head of an answer depends on.
-struct head_context {
-    std::string_view id_header; // Name of the request id header.
-    std::string_view request_id;
-    bool is_head = false;
-    bool keep_alive = false;
-};
-
-void append_header(std::string& out, std::string_view name, std::string_view value) {
-    out.append(name).append(": ").append(value).append("\r\n");
+/// Empties `text`. An assignment of an empty string would keep its memory.
+void free_memory(std::string& text) {
+    std::string().swap(text);
 }
 
-std::string answer_head(const caller_answer& answer, const head_context& c) {
-    std::string out = "HTTP/1.1 " + std::to_string(answer.status) + " ";
-    out.append(view(http::obsolete_reason(http::int_to_status(answer.status)))).append("\r\n");
-    const bool from_server = answer.headers.begin() != answer.headers.end();
-    const bool has_connection = answer.headers.count(http::field::connection) > 0;
-    for (const auto& field : answer.headers) {
-        const auto name = view(field.name_string());
-        const bool is_head_content_length = c.is_head && field.name() == http::field::content_length;
-        if ((net::is_connection_header(name) && !is_head_content_length) ||
-            (has_connection && net::named_by_connection(answer.headers, name))) {
-            continue;
-        }
-        append_header(out, name, view(field.value()));
-    }
-    if (!from_server && !c.request_id.empty()) {
-        append_header(out, c.id_header, c.request_id);
-    }
-    if (answer.retry_after) {
-        std::array<char, 32> text{};
-        std::snprintf(text.data(), text.size(), "%.3f",
-                      std::chrono::duration<double>(*answer.retry_after).count());
-        append_header(out, "Retry-After", text.data());
-    }
-    if (!has_no_body(answer.status, c.is_head)) {
-        append_header(out, "Content-Length", std::to_string(answer.body.size()));
-    }
-    if (!c.keep_alive) {
-        append_header(out, "Connection", "close");
-    }
-    return out.append("\r\n");
+std::string_view view(net::beast::string_view text) {
+    return {text.data(), text.size()};
 }
 
 } // namespace
@@ -105,13 +56,6 @@
     wait_for_bytes();
 }
 
-template <class Step>
-void caller_session::guard(std::string_view place, Step&& step) {
-    if (!contained(place, std::forward<Step>(step))) {
-        contained("close of a connection", [&] { close("a handler of the connection failed"); });
-    }
-}
-
 void caller_session::log_unanswered(std::string_view reason) const {
     const auto log = [&](const std::string& id) {
         telemetry::log(event::request_unanswered, {{"request", id}, {"reason", std::string(reason)}});
@@ -336,7 +280,7 @@
     while (!m_reading_ended && !m_pipeline.full() && !m_unparsed.empty() && parse_next()) {
     }
     if (m_unparsed.empty() && m_unparsed.capacity() > max_idle_capacity) {
-        m_unparsed = {};
+        free_memory(m_unparsed);
     }
 }
 
@@ -464,7 +408,7 @@
     cancel_timer();
     m_reading_ended = true;
     m_continue_pending = false;
-    m_unparsed = {};
+    free_memory(m_unparsed);
     auto& e = append(false);
     e.is_last = true;
     e.answer.status = status;
@@ -500,7 +444,7 @@
     e.request.headers = std::move(static_cast<http::fields&>(message));
     if (e.is_last) {
         m_reading_ended = true;
-        m_unparsed = {};
+        free_memory(m_unparsed);
     }
     start_message();
 }
@@ -533,7 +477,7 @@
 }
 
 void caller_session::on_answer(ticket t, caller_answer answer) {
-    if (m_closed) {
+    if (m_closed || m_lingering) {
         return;
     }
     auto& e = exchange_of(t);
@@ -547,191 +491,4 @@
     write_next();
 }
 
-// Writing
-
-void caller_session::write_next() {
-    if (m_in_write_loop) {
-        return; // Called by a request that was answered as soon as it was read: the loop goes on with it.
-    }
-    m_in_write_loop = true;
-    int written = 0;
-    while (written < max_answers_per_event && write_one()) {
-        ++written;
-    }
-    m_in_write_loop = false;
-    if (written == max_answers_per_event && !m_closed) {
-        net::asio::post(m_owner.m_context, [self = shared_from_this()] {
-            if (!self->m_closed && !self->m_lingering) {
-                self->guard("further answers", [&] { self->write_next(); });
-            }
-        });
-    }
-}
-
-bool caller_session::write_one() {
-    if (m_closed || m_writing || m_lingering || !m_pipeline.can_write()) {
-        return false;
-    }
-    const bool stopping = m_owner.m_stop.stopping();
-    const auto self = shared_from_this();
-    // Answers a request that has arrived meanwhile instead of closing the connection in front of it.
-    if (stopping && m_exchanges.size() == 1 && !m_exchanges.front().is_last && !receive()) {
-        return false;
-    }
-    auto e = std::move(m_exchanges.front());
-    m_exchanges.pop_front();
-    m_keep_alive = !e.is_last && (!stopping || !m_exchanges.empty() || (partly_read() && !m_stop_ended));
-    if (!m_keep_alive) { // What arrives while the answer is written belongs to another connection.
-        m_reading_ended = true;
-        m_unparsed = {};
-    }
-    m_pipeline.pop();
-    m_answer_bytes = e.accounted_bytes;
-    m_writing = true;
-    m_answered_id = std::move(e.request_id);
-    m_head = answer_head(e.answer, {m_owner.m_forwarding.adapter.headers().request_id, m_answered_id,
-                                    e.is_head, m_keep_alive});
-    m_body = has_no_body(e.answer.status, e.is_head) ? std::string() : std::move(e.answer.body);
-    const std::array<net::asio::const_buffer, 2> buffers{net::asio::buffer(m_head),
-                                                         net::asio::buffer(m_body)};
-    error_code ec;
-    const auto size = m_head.size() + m_body.size();
-    const auto done = m_socket.write_some(buffers, ec);
-    if (!ec && done == size) {
-        on_written();
-        return true;
-    }
-    if (ec && ec != net::asio::error::would_block) {
-        close("the answer could not be written: " + ec.message());
-    } else {
-        write_rest(ec ? 0 : done);
-    }
-    return false;
-}
-
-void caller_session::write_rest(std::size_t written) {
-    auto offset = written;
-    std::array<net::asio::const_buffer, 2> buffers{net::asio::buffer(m_head), net::asio::buffer(m_body)};
-    for (auto& b : buffers) {
-        const auto part = std::min(offset, b.size());
-        b += part;
-        offset -= part;
-    }
-    start_write_timer();
-    m_socket.async_write_some(buffers, [self = shared_from_this(), written](error_code ec, std::size_t n) {
-        if (self->m_closed) {
-            return;
-        }
-        if (ec) {
-            self->close("the answer could not be written: " + ec.message());
-            return;
-        }
-        self->guard("rest of an answer", [&] {
-            if (written + n < self->m_head.size() + self->m_body.size()) {
-                self->write_rest(written + n);
-                return;
-            }
-            self->cancel_write_timer();
-            self->on_written();
-        });
-    });
-}
-
-/// A caller that takes no bytes for the idle timeout would hold its answer's memory without end.
-void caller_session::start_write_timer() {
-    cancel_write_timer();
-    m_queued_bytes = net::queued_bytes(m_socket);
-    m_write_timer =
-        m_owner.m_forwarding.timer_queue.at(now() + limits().idle_timeout, [weak = weak_from_this()] {
-            if (const auto self = weak.lock()) {
-                self->m_write_timer.reset();
-                self->guard("timer of a write", [&] { self->on_write_timeout(); });
-            }
-        });
-}
-
-/// The system reports a socket as writable only when a large part of its buffer is free, so that a caller may
-/// have read much without a write.
-void caller_session::on_write_timeout() {
-    if (net::queued_bytes(m_socket) < m_queued_bytes) {
-        start_write_timer();
-    } else {
-        close("the caller stopped reading");
-    }
-}
-
-void caller_session::cancel_write_timer() {
-    if (m_write_timer) {
-        m_owner.m_forwarding.timer_queue.cancel(*m_write_timer);
-        m_write_timer.reset();
-    }
-}
-
-void caller_session::on_written() {
-    m_writing = false;
-    m_body = {};
-    release_bytes(m_answer_bytes);
-    if (!m_keep_alive) {
-        linger_close();
-        return;
-    }
-    parse();
-    start_requests();
-    if (m_closed || m_lingering) {
-        return;
-    }
-    if (m_stop_ended && !in_flight()) {
-        linger_close();
-        return;
-    }
-    start_idle_timer();
-    send_pending_continue();
-    wait_for_bytes();
-    write_next();
-}
-
-/// Shuts down the sending side and keeps reading for a short time: closing a socket with unread bytes resets
-/// the connection, and the caller could lose the answer.
-void caller_session::linger_close() {
-    error_code ec;
-    m_socket.shutdown(net::tcp::socket::shutdown_send, ec);
-    if (ec) {
-        close("the connection ends with an earlier answer");
-        return;
-    }
-    m_lingering = true;
-    m_unparsed = {};
-    log_unanswered("the connection ends with an earlier answer");
-    for (auto& e : m_exchanges) {
-        release_bytes(e.accounted_bytes);
-    }
-    m_exchanges.clear();
-    start_timer(linger_timeout);
-    m_socket.cancel(ec); // Cancels a pending read wait.
-    drain();
-}
-
-void caller_session::drain() {
-    if (m_closed) {
-        return;
-    }
-    m_socket.async_wait(net::tcp::socket::wait_read, [self = shared_from_this()](error_code ec) {
-        if (self->m_closed || ec == net::asio::error::operation_aborted) {
-            return;
-        }
-        for (int i = 0; i < max_reads_per_event && !ec; ++i) {
-            self->m_socket.read_some(net::asio::buffer(self->m_owner.m_read_buffer), ec);
-        }
-        // A caller may read the answer to its upload only after the last byte; the stop bounds the time.
-        if (self->m_owner.m_stop.stopping() && !self->m_stop_ended) {
-            self->start_timer(linger_timeout);
-        }
-        if (!ec || ec == net::asio::error::would_block) {
-            self->drain();
-        } else {
-            self->close("the caller closed the connection");
-        }
-    });
-}
-
 } // namespace balsampost::entry
--- a/src/libbalsampost_entry/forwarding.cpp
+++ b/src/libbalsampost_entry/forwarding.cpp
@@ -256,6 +256,7 @@
     m_server = server;
     m_exchange_sent_at = sent;
     m_exchange_open = true;
+    const auto attempt = ++m_attempts_started;
     service->pool.attempt_started(server, sent);
     const auto self = shared_from_this();
     const auto handle = m_context.client.start(
@@ -264,7 +265,8 @@
             self->guard("answer of a server", [&] { self->on_attempt_end(backend, sent, result, reusable); });
             return reusable;
         });
-    if (m_exchange_open) {
+    // An attempt that fails at once may have started the next one already.
+    if (m_exchange_open && attempt == m_attempts_started) {
         m_exchange = handle;
     }
 }
--- a/src/libbalsampost_entry/stop_write_test.cpp
+++ b/src/libbalsampost_entry/stop_write_test.cpp
@@ -1,6 +1,8 @@
 // Requests that arrive while an answer is still being written to a caller that reads it slowly.
 #include "caller_rig.h"
 
+#include <malloc.h>
+
 #include <cppunit/extensions/HelperMacros.h>
 
 namespace balsampost::entry {
@@ -38,6 +40,7 @@
                    std::to_string(body_bytes) + "\r\n\r\n" + std::string(body_bytes, 'x');
             net::asio::async_write(socket, net::asio::buffer(text),
                                    [self = shared_from_this()](auto ec, std::size_t) {
+                                       std::string().swap(self->text);
                                        if (!ec) {
                                            self->read();
                                        }
@@ -75,6 +78,7 @@
     CPPUNIT_TEST_SUITE(stop_write_test);
     CPPUNIT_TEST(request_read_behind_an_answer_that_closes_is_answered_or_left_unsent);
     CPPUNIT_TEST(caller_that_reads_slowly_and_steadily_gets_its_whole_answer);
+    CPPUNIT_TEST(idle_connections_hold_no_memory_of_their_last_answers);
     CPPUNIT_TEST_SUITE_END();
 
     static std::shared_ptr<net::tcp::socket> connect(caller_rig<>& rig, int receive_bytes = 4096) {
@@ -130,6 +134,40 @@
         CPPUNIT_ASSERT_EQUAL(static_cast<std::size_t>(server.requests()), count_of(text, "HTTP/1.1 200"));
     }
 
+    static std::size_t allocated_bytes() {
+        const auto info = ::mallinfo2();
+        return info.uordblks + info.hblkhd;
+    }
+
+    /// Guards against kept connections that outgrow the memory while nothing is in flight.
+    void idle_connections_hold_no_memory_of_their_last_answers() {
+        constexpr int connections = 4;
+        caller_rig<> rig({});
+        large_answer_server server(rig.context);
+        use(rig, server.at());
+        const auto before = allocated_bytes();
+        std::vector<std::shared_ptr<net::tcp::socket>> callers;
+        for (int i = 0; i < connections; ++i) {
+            callers.push_back(connect(rig, 1 << 20));
+            caller_rig<>::send(*callers.back());
+            std::size_t received = 0;
+            std::array<char, 65536> buffer{};
+            std::function<void()> read = [&] {
+                callers.back()->async_read_some(net::asio::buffer(buffer), [&](auto ec, std::size_t n) {
+                    received += n;
+                    if (!ec && received < large_answer_server::body_bytes) {
+                        read();
+                    }
+                });
+            };
+            read();
+            CPPUNIT_ASSERT(rig.run_until([&] { return received >= large_answer_server::body_bytes; }));
+        }
+        CPPUNIT_ASSERT(rig.run_until([&] { return rig.callers.in_flight() == 0; }));
+        const auto held = allocated_bytes() - before;
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(held), held < large_answer_server::body_bytes);
+    }
+
     /// Guards against cutting an answer for a caller that takes bytes all the time.
     void caller_that_reads_slowly_and_steadily_gets_its_whole_answer() {
         caller_rig<> rig({});
