entry: a keyed request that its owner refuses in a stop is refused at once

In a stop that cannot hold it, a keyed request that its owner answered 421 waited 400 ms for the next owner and got its 503 only then. The stop was asked for requests that waited when it began and before each attempt, not when a wait began. With the assertion that the refusal comes at once, requests_that_their_owner_refused_are_judged_again failed at "3000 outlasting" (5 passed, 1 failed), and passes with the question in wait_for_owner (6 of 6).

--- a/src/libbalsampost_entry/forwarding.cpp
+++ b/src/libbalsampost_entry/forwarding.cpp
@@ -407,6 +407,9 @@
     if (m_waiting_for_owner) {
         return;
     }
+    if (!m_may_have_run && refuse_for_stop()) {
+        return;
+    }
     const auto at = now();
     if (m_owner_wait_deadline == core::never) {
         m_owner_wait_deadline = std::min(at + max_owner_wait, m_deadline - 2 * min_time_left);
--- a/src/libbalsampost_entry/stop_kinds_test.cpp
+++ b/src/libbalsampost_entry/stop_kinds_test.cpp
@@ -202,7 +202,7 @@
         });
     }
 
-    /// Guards against sending such a request to the next owner when the stop does not hold it.
+    /// Guards against a wait for the next owner whose end the stop would not hold.
     void requests_that_their_owner_refused_are_judged_again() {
         for_each_case([](const std::string& name, core::milliseconds grace, bool held) {
             stop_rig rig({misdirected, ok});
@@ -213,7 +213,7 @@
             if (held) {
                 rig.set_owner(2);
             }
-            const auto text = rig.answer(*socket);
+            const auto text = held ? rig.answer(*socket) : rig.answer_at_once(*socket);
             (held ? assert_served : assert_refused_by_stop)(name, text);
             CPPUNIT_ASSERT_EQUAL_MESSAGE(name, held ? 2 : 1, rig.server.requests());
         });
