--- a/src/include/balsampost/entry/listener_start.h
+++ b/src/include/balsampost/entry/listener_start.h
@@ -28,7 +28,7 @@
     struct handlers {
         /// All listeners are bound.
         std::function<void()> on_bound;
-        /// The time limit passed. The reason names the address and the last error.
+        /// An address could not be bound in time. The reason names it and the last error.
         std::function<void(const std::string& reason)> on_given_up;
     };
 
