platform: an unknown kind of one route no longer makes the manifest unusable

Any other unknown kind is read as the strictest one, run at most once, with the event config_value_unknown and a metric; the other routes are served.

--- a/src/include/balsampost/core/manifest.h
+++ b/src/include/balsampost/core/manifest.h
@@ -43,6 +43,10 @@
     std::uint32_t max_attempts = 1;
     /// Never empty; the sum of the weights is positive.
     std::vector<route_destination> destinations;
+    /// Regions whose servers may get the requests; empty: all.
+    std::vector<std::string> allowed_regions;
+    /// The servers' answers are large.
+    bool large_answers = false;
 
     bool idempotent() const { return semantics == execution_semantics::idempotent; }
 };
@@ -53,6 +57,10 @@
     std::uint32_t max_connections = 100;
     /// Whether a server executes a request only while it owns the request's key.
     bool keyed = false;
+    /// How long a server is cold after its start.
+    milliseconds warmup{0};
+    /// Requests per second that a cold server bears; 0: not limited.
+    double warmup_per_s = 0;
 };
 
 /// Limits on callers' requests and connections.
@@ -65,11 +73,19 @@
     milliseconds idle_timeout{60'000};
 };
 
+/// A value that is not known and was replaced by the strictest one.
+struct unknown_value {
+    std::string route;
+    std::string field;
+    std::string value;
+};
+
 struct manifest {
     std::uint64_t version = 0;
     std::vector<route> routes;
     std::map<std::string, service> services;
     caller_limits limits;
+    std::vector<unknown_value> unknown_values;
 };
 
 /// One version of the manifest, with its routes indexed by host and path prefix. Immutable, so that a request
--- a/src/include/balsampost/entry/entry_metrics.h
+++ b/src/include/balsampost/entry/entry_metrics.h
@@ -38,6 +38,7 @@
     void keys_moved(std::uint64_t keys) { m_keys_moved.Increment(static_cast<double>(keys)); }
     void order(bool ok) { (ok ? m_orders_ok : m_orders_failed).Increment(); }
     void manifest_version(std::uint64_t version) { m_manifest.Set(static_cast<double>(version)); }
+    void unknown_config_value() { m_unknown_config_values.Increment(); }
     void leads(bool does) { m_leads.Set(does ? 1 : 0); }
 
     /// Returns all metrics in the Prometheus text format.
@@ -66,6 +67,7 @@
     prometheus::Counter& m_refused_for_pause;
     prometheus::Gauge& m_leaving_servers;
     prometheus::Gauge& m_paused_servers;
+    prometheus::Counter& m_unknown_config_values;
     prometheus::Histogram& m_latency;
     std::array<prometheus::Counter*, 6> m_attempts{};
 };
--- a/src/include/balsampost/telemetry/events.h
+++ b/src/include/balsampost/telemetry/events.h
@@ -26,6 +26,7 @@
     config_in_force = 200,
     config_unusable = 201,
     members_changed = 202,
+    config_value_unknown = 203,
     store_unavailable = 210,
     store_recovered = 211,
     peer_updates_started = 212,
--- a/src/libbalsampost_entry/entry_metrics.cpp
+++ b/src/libbalsampost_entry/entry_metrics.cpp
@@ -69,6 +69,9 @@
                               "Listed servers that say in their answers that they leave")),
       m_paused_servers(gauge(*m_registry, "balsampost_servers_paused",
                              "Listed servers that asked this instance for a pause that runs")),
+      m_unknown_config_values(counters(*m_registry, "balsampost_config_values_unknown_total",
+                                       "Values of routes that are not known; the strictest ones are used")
+                                  .Add({})),
       m_latency(prometheus::BuildHistogram()
                     .Name("balsampost_answer_seconds")
                     .Help("From the request to the answer")
--- a/src/libbalsampost_entry/entry_store_watches.cpp
+++ b/src/libbalsampost_entry/entry_store_watches.cpp
@@ -145,6 +145,13 @@
     telemetry::log(event::config_in_force, {{"version", std::to_string(manifest->version)},
                                             {"routes", std::to_string(manifest->routes.size())},
                                             {"revision", std::to_string(object.revision)}});
+    for (const auto& unknown : manifest->unknown_values) {
+        m_metrics.unknown_config_value();
+        telemetry::log(event::config_value_unknown, {{"version", std::to_string(manifest->version)},
+                                                     {"route", unknown.route},
+                                                     {"field", unknown.field},
+                                                     {"value", unknown.value}});
+    }
     m_state.set_manifest(std::move(*manifest));
     for (const auto& [service, view] : m_service_views) {
         m_state.set_table(service, view.tables.table());
--- a/src/libbalsampost_telemetry/events.cpp
+++ b/src/libbalsampost_telemetry/events.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-constexpr std::array<event_info, 57> event_table{{
+constexpr std::array<event_info, 58> event_table{{
     {event::started, severity::info, "started", "the daemon listens on all its addresses"},
     {event::stopping, severity::info, "stopping", "a stop was requested; the graceful shutdown begins"},
     {event::stopped, severity::info, "stopped", "the shutdown is complete"},
@@ -29,6 +29,8 @@
     {event::config_unusable, severity::error, "config_unusable",
      "a published configuration version could not be parsed"},
     {event::members_changed, severity::info, "members_changed", "the platform's member list changed"},
+    {event::config_value_unknown, severity::error, "config_value_unknown",
+     "a field of a route has an unknown value; the strictest one is used"},
     {event::store_unavailable, severity::warning, "store_unavailable",
      "the platform's store does not respond"},
     {event::store_recovered, severity::info, "store_back", "the platform's store responds again"},
