--- a/src/libbalsampost_telemetry/events.cpp
+++ b/src/libbalsampost_telemetry/events.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-constexpr std::array<event_info, 58> event_table{{
+constexpr auto event_table = std::to_array<event_info>({
     {event::started, severity::info, "started", "the daemon listens on all its addresses"},
     {event::stopping, severity::info, "stopping", "a stop was requested; the graceful shutdown begins"},
     {event::stopped, severity::info, "stopped", "the shutdown is complete"},
@@ -100,7 +100,7 @@
      "reports of an instance arrived faster than time passed; their request counts are not used"},
     {event::lines_dropped, severity::warning, "lines_dropped",
      "log lines were dropped because the output was too slow"},
-}};
+});
 
 } // namespace
 
