core: evacuation of failure domains

Result: core_test 139 of 139 and the walks of key_ownership_test with evacuations pass; without the change the new tests do not compile.

--- a/src/include/balsampost/core/key_coordinator.h
+++ b/src/include/balsampost/core/key_coordinator.h
@@ -19,6 +19,7 @@
 #pragma once
 
 #include "balsampost/core/admission.h"
+#include "balsampost/core/evacuation/key_evacuation.h"
 #include "balsampost/core/key_plan.h"
 
 #include <algorithm>
@@ -111,6 +112,7 @@
     /// within the order timeout.
     std::uint32_t max_orders = 64;
     key_coordinator_rules rules;
+    evacuation::key_evacuation_settings key_evacuation;
     /// The tenure is read from the store if its holder has sent no update for this long.
     milliseconds holder_silence_timeout{1'200};
 };
@@ -181,6 +183,11 @@
     /// Replaces the list of servers. It holds the servers of all services of the manifest: those of other
     /// services own no keys, but show that an earlier server at their address has ended.
     void update_servers(const std::vector<const backend*>& listed, time_point now);
+    /// Replaces the evacuated failure domains. Servers there own no keys; theirs are moved, the busiest
+    /// ranges first. Without another server they stay where they are.
+    void update_evacuations(std::set<std::string> domains, time_point now);
+    /// Whether a server in `domain` may still hold keys, by the table in effect.
+    bool has_keys_in(const std::string& domain) const;
     /// The server refused a connection from this instance. Its keys are planned for other servers at once and
     /// granted to them when its grants have expired.
     void server_refused(const incarnation& which, time_point now) { mark_lost(which, now); }
@@ -279,7 +286,12 @@
         std::map<incarnation, std::uint32_t> per_server;
         std::uint32_t max_per_server = 0;
         std::uint32_t remaining = 0;
+        /// Orders that releases leave for grants.
+        std::uint32_t kept_for_grants = 0;
 
+        bool available_for_release(const incarnation& server) const {
+            return remaining > kept_for_grants && available_for(server);
+        }
         bool exhausted() const { return remaining == 0; }
         bool available_for(const incarnation& server) const {
             const auto found = per_server.find(server);
@@ -298,16 +310,22 @@
     void step_tenure(time_point now, std::vector<coordinator_action>& out);
     void step_table(time_point now, std::vector<coordinator_action>& out);
     void step_orders(time_point now, std::vector<coordinator_action>& out);
+    /// Sends the orders for keys that leave evacuated failure domains, the busiest ranges first.
+    void step_evacuation(order_budget& budget, time_point now, std::vector<coordinator_action>& out);
     void step_releases(const key_range& range, order_budget& budget, time_point now,
                        std::vector<coordinator_action>& out);
     void step_grant(const key_range& range, order_budget& budget, time_point now,
                     std::vector<coordinator_action>& out);
     std::vector<key_move> plan_initial(time_point now);
     std::vector<key_move> plan(time_point now);
+    /// Plans moves of the ranges whose owners cannot own keys; of those in evacuated failure domains, the
+    /// next ones only.
+    std::vector<key_move> plan_lost(const std::vector<key_server>& servers, time_point now) const;
+    bool evacuated(const incarnation& which) const;
     /// Servers that can own keys, with their capacity.
     std::vector<key_server> owners() const;
-    /// Whether the server is listed, neither leaving by the list nor by its own word, not ended and not
-    /// marked lost.
+    /// Whether the server is listed, neither leaving by the list nor by its own word, not ended, not marked
+    /// lost and not in an evacuated failure domain.
     bool can_own(const incarnation& which) const;
     void server_ended(const incarnation& which);
     /// Updates whether a server counts as unreachable from the outcome of an order.
@@ -371,6 +389,8 @@
     std::map<incarnation, unreachable_server> m_unreachable;
     /// Listed servers that say in their answers that they leave, as instances report.
     std::set<incarnation> m_leaving;
+    std::set<std::string> m_evacuated_domains;
+    time_point m_evacuated_since = never; // When the latest of them was added.
     service_time_estimates m_service_times;
     time_point m_last_server_added = never;
 
--- a/src/include/balsampost/core/server_selection.h
+++ b/src/include/balsampost/core/server_selection.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "balsampost/core/backend_directory.h"
+#include "balsampost/core/evacuation/evacuated_domains.h"
 #include "balsampost/core/manifest.h"
 #include "balsampost/core/server_notices.h"
 
@@ -88,6 +89,8 @@
     milliseconds retry_after{0};
     /// There is no server because those that could serve asked for a pause; it ends after `retry_after`.
     bool paused = false;
+    /// There is no server because those that could serve are in evacuated failure domains.
+    bool evacuated = false;
 };
 
 /// The servers of one service and this instance's estimates of them. Not thread-safe.
@@ -98,12 +101,19 @@
                 std::map<std::string, std::string> regions,
                 std::shared_ptr<const server_notices> notices = std::make_shared<const server_notices>());
 
+    /// Sets the evacuated failure domains, which all pools of an instance share. Without a call there are
+    /// none.
+    void set_evacuations(std::shared_ptr<const evacuation::evacuated_domains> domains) {
+        m_evacuations = std::move(domains);
+    }
+
     /// Replaces the list of servers. Estimates are kept for incarnations that remain in it.
     /// `max_connections`: connections that one server accepts from all `instances` together.
     void update(const std::vector<const backend*>& servers, std::uint32_t max_connections,
                 std::uint32_t instances);
 
-    /// Chooses among all servers that neither leave nor pause and that are not backed off from.
+    /// Chooses among all servers that neither leave nor pause, that are not backed off from, and whose
+    /// failure domain is not evacuated.
     selection choose(const selection_request& request, time_point now, std::mt19937_64& random) const;
     /// Selects `server`, the owner of the request's key, if it is expected to finish in time.
     selection check(const std::string& server, const selection_request& request, time_point now) const;
@@ -133,6 +143,9 @@
     /// Returns the samples of all servers collected since the last call.
     std::vector<service_time_sample> take_samples();
     bool backing_off(const std::string& server, time_point now) const;
+    /// Whether servers are listed and all of those that do not leave are in evacuated failure domains that
+    /// get no request, not even for the keys of an owner.
+    bool all_evacuated(time_point now) const;
 
 private:
     struct state {
@@ -173,6 +186,8 @@
     std::string m_failure_domain;
     std::map<std::string, std::string> m_regions; // Region by failure domain.
     std::shared_ptr<const server_notices> m_notices;
+    std::shared_ptr<const evacuation::evacuated_domains> m_evacuations =
+        std::make_shared<const evacuation::evacuated_domains>();
     std::map<std::string, state> m_servers; // By id.
     std::uint32_t m_connection_share = 8;
     mutable double m_mean_service_ms = 0; // Cached; 0: must be recomputed.
--- a/src/libbalsampost_core/key_coordinator.cpp
+++ b/src/libbalsampost_core/key_coordinator.cpp
@@ -177,12 +177,40 @@
     }
 }
 
+void key_coordinator::update_evacuations(std::set<std::string> domains, time_point now) {
+    if (domains == m_evacuated_domains) {
+        return;
+    }
+    if (!std::includes(m_evacuated_domains.begin(), m_evacuated_domains.end(), domains.begin(),
+                       domains.end())) {
+        m_evacuated_since = now;
+    }
+    m_evacuated_domains = std::move(domains);
+    schedule_step(now);
+}
+
+bool key_coordinator::evacuated(const incarnation& which) const {
+    const auto found = m_evacuated_domains.empty() ? m_servers.end() : m_servers.find(which);
+    return found != m_servers.end() && m_evacuated_domains.contains(found->second.failure_domain);
+}
+
+bool key_coordinator::has_keys_in(const std::string& domain) const {
+    const auto inside = [&](const incarnation& which) {
+        const auto found = m_servers.find(which);
+        return found != m_servers.end() && found->second.failure_domain == domain;
+    };
+    return std::any_of(
+        m_effective_table.ranges.begin(), m_effective_table.ranges.end(), [&](const key_range& r) {
+            return inside(r.owner) || std::any_of(r.previous.begin(), r.previous.end(), inside);
+        });
+}
+
 bool key_coordinator::can_own(const incarnation& which) const {
     const auto found = m_servers.find(which);
     const auto contact = m_unreachable.find(which);
     const bool lost = contact != m_unreachable.end() && contact->second.lost;
     return found != m_servers.end() && !found->second.draining && !m_leaving.contains(which) &&
-           !ended(which) && !lost;
+           !ended(which) && !lost && !evacuated(which);
 }
 
 std::vector<key_server> key_coordinator::owners() const {
@@ -388,8 +416,13 @@
     // Ranges of lost servers come first; nothing else is planned in the same batch.
     if (any_lost && !servers.empty()) {
         m_rates.advance(now);
-        m_refence_moves.clear();
-        return reassign_lost(m_effective_table, servers, m_rates);
+        auto moves = plan_lost(servers, now);
+        if (m_evacuated_domains.empty()) {
+            m_refence_moves.clear();
+        }
+        if (!moves.empty() || m_evacuated_domains.empty()) {
+            return moves;
+        }
     }
     // Drop requests for new tokens that no longer match the table.
     std::erase_if(m_refence_moves, [this](const key_move& m) {
@@ -420,6 +453,20 @@
     return moves;
 }
 
+std::vector<key_move> key_coordinator::plan_lost(const std::vector<key_server>& servers,
+                                                 time_point now) const {
+    const auto is_evacuated = [this](const incarnation& which) { return evacuated(which); };
+    const auto& settings = m_settings.key_evacuation;
+    if (m_evacuated_domains.empty() || now >= after(m_evacuated_since, settings.batch_time)) {
+        return reassign_lost(m_effective_table, servers, m_rates);
+    }
+    // The next ranges move once most of those before them have arrived, since each batch is a write.
+    const auto moving = evacuation::moving_by_rate(m_effective_table, m_rates, is_evacuated).size();
+    const auto next = moving > settings.max_moving / 4 ? 0 : settings.max_moving - moving;
+    return reassign_lost(evacuation::with_next_ranges(m_effective_table, m_rates, is_evacuated, next),
+                         servers, m_rates);
+}
+
 // Steps
 
 std::vector<coordinator_action> key_coordinator::step(time_point now) {
--- a/src/libbalsampost_core/key_coordinator_orders.cpp
+++ b/src/libbalsampost_core/key_coordinator_orders.cpp
@@ -104,6 +104,7 @@
     for (const auto& [order, o] : m_orders) {
         budget.consume(o.server);
     }
+    step_evacuation(budget, now, out);
     const auto& ranges = m_effective_table.ranges;
     const auto first =
         std::find_if(ranges.begin(), ranges.end(), [&](const key_range& r) { return r.to >= m_next_range; });
@@ -119,12 +120,27 @@
     }
 }
 
+void key_coordinator::step_evacuation(order_budget& budget, time_point now,
+                                      std::vector<coordinator_action>& out) {
+    if (m_evacuated_domains.empty()) {
+        return;
+    }
+    // A release lasts until the requests for the keys have ended; grants of all other keys are renewed
+    // meanwhile.
+    budget.kept_for_grants = m_settings.max_orders / 2;
+    const auto is_evacuated = [this](const incarnation& which) { return evacuated(which); };
+    for (const auto i : evacuation::moving_by_rate(m_effective_table, m_rates, is_evacuated)) {
+        step_releases(m_effective_table.ranges[i], budget, now, out);
+        step_grant(m_effective_table.ranges[i], budget, now, out);
+    }
+}
+
 void key_coordinator::step_releases(const key_range& range, order_budget& budget, time_point now,
                                     std::vector<coordinator_action>& out) {
     auto& s = m_range_states[{range.from, range.to, range.fence}];
     for (const auto& p : range.previous) {
         if (s.released.contains(p) || ended(p) || s.releases[p] != 0 || !m_addresses.contains(p) ||
-            !budget.available_for(p) || release_in_flight(p, range.from, range.to)) {
+            !budget.available_for_release(p) || release_in_flight(p, range.from, range.to)) {
             continue;
         }
         const auto retry_at = s.release_retry_at[p];
--- a/src/libbalsampost_core/key_ownership_test.cpp
+++ b/src/libbalsampost_core/key_ownership_test.cpp
@@ -1,7 +1,8 @@
 // Randomized simulation of several coordinators, a store and servers. It injects late and lost store writes,
 // orders carried out seconds late, paused and replaced coordinators, servers that crash, become silent and
-// return, and slow clocks. No two running servers may hold the same key at any step. With any safety rule
-// switched off, some simulation must find two owners.
+// return, slow clocks, and in one variant evacuations that coordinators learn of at different times. No two
+// running servers may hold the same key at any step. With any safety rule switched off, some simulation must
+// find two owners.
 #include "balsampost/core/key_coordinator.h"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -91,8 +92,10 @@
 class simulation {
 public:
     /// `replaces_servers`: the addresses of ended servers go to servers of another service.
-    simulation(std::uint64_t seed, key_coordinator_rules rules, bool replaces_servers)
-        : m_random(seed), m_cuts_refuse(seed % 2 == 0), m_replaces_servers(replaces_servers) {
+    /// `evacuates`: failure domains are evacuated and taken back.
+    simulation(std::uint64_t seed, key_coordinator_rules rules, bool replaces_servers, bool evacuates = false)
+        : m_random(seed), m_cuts_refuse(seed % 2 == 0), m_replaces_servers(replaces_servers),
+          m_evacuates(evacuates) {
         for (int i = 0; i < 4; ++i) {
             start_server("s" + std::to_string(i));
         }
@@ -154,6 +157,7 @@
         b.service = "beds";
         b.address = {"10.0.0.1", static_cast<std::uint16_t>(8000 + m_last_incarnation)};
         b.slots = 6;
+        b.failure_domain = "d" + std::to_string(m_last_incarnation % 3);
         m_listed[id] = b;
         m_running_servers[b.self] = {};
     }
@@ -252,6 +256,9 @@
         if (chance(0.004)) {
             m_listed.at(pick_server()).draining ^= true;
         }
+        if (m_evacuates && chance(0.02)) {
+            change_evacuations();
+        }
         if (chance(0.01)) { // A coordinator loses all connections to a server, or takes them for lost.
             m_coordinators[random_below(m_coordinators.size())]->server_may_have_restarted(
                 m_listed.at(pick_server()).self);
@@ -268,6 +275,18 @@
         }
     }
 
+    /// Begins or ends an evacuation, of which each coordinator learns at its own time.
+    void change_evacuations() {
+        const auto domain = "d" + std::to_string(random_below(3));
+        if (m_evacuated.erase(domain) == 0) {
+            m_evacuated.insert(domain);
+        }
+        for (auto& c : m_coordinators) {
+            schedule(milliseconds{random_below(4'000)},
+                     [this, &c, domains = m_evacuated] { c->update_evacuations(domains, m_now); });
+        }
+    }
+
     /// Starts requests on keys that are held.
     void start_requests() {
         for (auto& [id, h] : m_running_servers) {
@@ -515,6 +534,8 @@
     std::mt19937_64 m_random;
     bool m_cuts_refuse; // Connections into a partition are refused instead of timing out.
     bool m_replaces_servers;
+    bool m_evacuates;
+    std::set<std::string> m_evacuated;
     time_point m_now = simulation_start;
     std::multimap<time_point, event> m_events;
     std::vector<std::unique_ptr<key_coordinator>> m_coordinators;
@@ -538,9 +559,10 @@
 constexpr seconds simulation_length{40};
 
 /// First seed up to `max_seed` whose simulation finds two owners; 0 if none does.
-std::uint64_t first_violation(key_coordinator_rules rules, std::uint64_t max_seed, bool replaces_servers) {
+std::uint64_t first_violation(key_coordinator_rules rules, std::uint64_t max_seed, bool replaces_servers,
+                              bool evacuates = false) {
     for (std::uint64_t seed = 1; seed <= max_seed; ++seed) {
-        if (simulation(seed, rules, replaces_servers).run(simulation_length)) {
+        if (simulation(seed, rules, replaces_servers, evacuates).run(simulation_length)) {
             return seed;
         }
     }
@@ -561,6 +583,7 @@
         for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
             check_seed(seed, false);
             check_seed(seed, true);
+            check_seed(seed, seed % 2 == 0, true);
         }
     }
 
@@ -573,8 +596,8 @@
         }
     }
 
-    static void check_seed(std::uint64_t seed, bool replaces_servers) {
-        simulation w(seed, {}, replaces_servers);
+    static void check_seed(std::uint64_t seed, bool replaces_servers, bool evacuates = false) {
+        simulation w(seed, {}, replaces_servers, evacuates);
         const auto key = w.run(simulation_length);
         CPPUNIT_ASSERT_MESSAGE("seed " + std::to_string(seed) + " key " + std::to_string(key.value_or(0)),
                                !key);
@@ -586,6 +609,7 @@
             const char* name;
             bool key_coordinator_rules::*rule;
             bool replaces_servers = false;
+            bool evacuates = false;
         };
         constexpr row rows[] = {
             {"wait_for_tenure_end", &key_coordinator_rules::wait_for_tenure_end},
@@ -593,6 +617,9 @@
             {"wait_out_inherited_grants", &key_coordinator_rules::wait_out_inherited_grants},
             {"assume_unanswered_granted", &key_coordinator_rules::assume_unanswered_granted},
             {"clear_previous_owners", &key_coordinator_rules::clear_previous_owners},
+            {"clear_previous_owners, evacuated", &key_coordinator_rules::clear_previous_owners, false, true},
+            {"assume_unanswered_granted, evacuated", &key_coordinator_rules::assume_unanswered_granted, false,
+             true},
             {"only_later_start_ends_a_server", &key_coordinator_rules::only_later_start_ends_a_server, true},
         };
         constexpr std::uint64_t max_seed = 150;
@@ -600,7 +627,7 @@
         for (const auto& r : rows) {
             key_coordinator_rules rules;
             rules.*r.rule = false;
-            const auto seed = first_violation(rules, max_seed, r.replaces_servers);
+            const auto seed = first_violation(rules, max_seed, r.replaces_servers, r.evacuates);
             std::cout << " [" << r.name << ": seed " << seed << "] ";
             undetected += seed == 0 ? std::string(r.name) + " " : "";
         }
--- a/src/libbalsampost_core/server_selection.cpp
+++ b/src/libbalsampost_core/server_selection.cpp
@@ -28,6 +28,17 @@
 constexpr milliseconds min_retry_after{60};
 constexpr milliseconds max_retry_after{600};
 
+/// The refusal of a request whose servers are all evacuated. `returns`: when one may be used again, if that
+/// is known.
+selection evacuated_selection(time_point returns, time_point now) {
+    selection out;
+    out.retry_after = returns > now && returns != time_point::max()
+                          ? std::max(min_retry_after, std::chrono::ceil<milliseconds>(returns - now))
+                          : max_retry_after;
+    out.evacuated = true;
+    return out;
+}
+
 } // namespace
 
 const char* to_string(server_locality locality) {
@@ -143,7 +154,8 @@
     const double slots = std::max<std::uint32_t>(s.info.slots, 1);
     return estimated_load(s, now) + 1 <= slots * m_settings.max_load_per_slot &&
            s.in_flight < m_connection_share &&
-           s.in_flight < m_notices->max_in_flight(s.info.self, s.info.slots, now);
+           s.in_flight < m_notices->max_in_flight(s.info.self, s.info.slots, now) &&
+           s.in_flight < m_evacuations->max_in_flight(s.info.failure_domain, s.info.slots, now);
 }
 
 bool server_pool::leaves(const state& s) const {
@@ -173,9 +185,18 @@
     auto soonest = max_retry_after;
     auto pause_ends = time_point::max(); // Of the servers that could serve but for their pause.
     bool only_paused = true;
+    bool only_evacuated = true;       // No server that stays is outside the evacuated failure domains.
+    auto returns = time_point::max(); // First end of an evacuation that is known.
+    bool any_evacuated = false;
     // Jitter keeps instances with equal estimates from all choosing the same server.
     std::uniform_real_distribution<double> jitter(0.95, 1.05);
     for (const auto& [id, s] : m_servers) {
+        if (!leaves(s) && !m_evacuations->may_receive(s.info.failure_domain, false, now)) {
+            any_evacuated = true;
+            returns = std::min(returns, m_evacuations->returns_at(s.info.failure_domain));
+            continue;
+        }
+        only_evacuated = only_evacuated && leaves(s);
         if (leaves(s) || now < s.backoff_until ||
             std::find(request.excluded_servers.begin(), request.excluded_servers.end(), id) !=
                 request.excluded_servers.end()) {
@@ -199,6 +220,9 @@
             best_expected = expected;
         }
     }
+    if (any_evacuated && only_evacuated) {
+        return evacuated_selection(returns, now);
+    }
     if (best == nullptr && only_paused && pause_ends != time_point::max()) {
         return {"", milliseconds{0}, std::chrono::ceil<milliseconds>(pause_ends - now), true};
     }
@@ -217,6 +241,9 @@
         return {"", milliseconds{0}, min_retry_after};
     }
     const auto& s = found->second;
+    if (!m_evacuations->may_receive(s.info.failure_domain, true, now)) {
+        return evacuated_selection(time_point::max(), now);
+    }
     if (m_notices->paused(s.info.self, now)) {
         return {"", milliseconds{0},
                 std::chrono::ceil<milliseconds>(m_notices->resumes_at(s.info.self) - now), true};
@@ -331,6 +358,20 @@
     return found == m_servers.end() ? server_locality::other_region : found->second.locality;
 }
 
+bool server_pool::all_evacuated(time_point now) const {
+    bool any = false;
+    for (const auto& [id, s] : m_servers) {
+        if (leaves(s)) {
+            continue;
+        }
+        if (m_evacuations->may_receive(s.info.failure_domain, true, now)) {
+            return false;
+        }
+        any = true;
+    }
+    return any;
+}
+
 bool server_pool::backing_off(const std::string& server, time_point now) const {
     const auto found = m_servers.find(server);
     return found != m_servers.end() && now < found->second.backoff_until;
