entry: evacuations reach every instance and end requests to their servers

Cause: instances did not know the store's kind evacuations. Change: a third kind_watch follows it if the bound evacuation is given (default now 0: no evacuations, no call). Its objects count by name; changes of it are applied whatever the age of the sender's data, and instances report upwards what their coordinator does not know, so that an evacuation spreads while the store is away.

--- a/src/include/balsampost/entry/change_feed.h
+++ b/src/include/balsampost/entry/change_feed.h
@@ -53,9 +53,16 @@
     MSGPACK_DEFINE(kind, age_ms, grace_ms, from, to, changes, latest);
 };
 
+/// Size of a segment; two kinds, the names of a third one and a key table share one datagram of 60 KiB.
+inline constexpr std::size_t max_segment_bytes = 20U << 10U;
+/// Size of a segment of a kind whose objects count by their names only.
+inline constexpr std::size_t max_name_segment_bytes = 4U << 10U;
+
 /// Keeps the latest changes of one kind, to serve receivers at different revisions.
 class change_log {
 public:
+    explicit change_log(std::size_t max_segment = max_segment_bytes) : m_max_segment(max_segment) {}
+
     /// Restarts the log from a complete list as of `revision`. Earlier changes are discarded.
     void reset(std::uint64_t revision);
     /// Appends all changes between the log's current revision and `revision`. Many changes are cut into
@@ -78,6 +85,7 @@
     };
     void add(batch b);
 
+    std::size_t m_max_segment;
     /// Contiguous: each batch begins where the previous one ends, and the last one ends at m_revision.
     std::deque<batch> m_batches;
     std::uint64_t m_revision = 0;
--- a/src/include/balsampost/entry/entry.h
+++ b/src/include/balsampost/entry/entry.h
@@ -18,6 +18,7 @@
 
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -43,6 +44,22 @@
     /// Ends the process on a stop signal that came before any caller could connect.
     void stop_before_serving();
     void start_watches();
+    /// Follows the evacuations, if the settings state a bound for them.
+    void start_evacuation_watch(core::milliseconds max_age);
+    /// All watches that run.
+    std::vector<std::shared_ptr<kind_watch>> watches() const;
+    /// Logs and applies the begin or end of an evacuation.
+    void evacuation_began(const std::string& domain, core::time_point not_before);
+    void evacuation_ended(const std::string& domain, core::time_point not_before);
+    void evacuations_updated();
+    /// Names of the evacuated failure domains.
+    std::set<std::string> evacuated_domains() const;
+    /// As the coordinator, logs each evacuated failure domain that no key of `service` is left in.
+    void log_emptied_domains(const std::string& service);
+    /// Evacuations that the instance to which this one reports does not know yet.
+    std::vector<feed_segment> evacuations_to_report() const;
+    /// Applies the evacuations in a report.
+    void apply_reported_evacuations(const std::vector<feed_segment>& feed);
     /// Sets the watches' roles by whether other instances report here and whether this one coordinates.
     void update_watch_roles();
     /// Revision up to which each kind of objects is known.
@@ -122,6 +139,9 @@
     std::string m_incarnation_id;
     std::shared_ptr<kind_watch> m_backend_watch;
     std::shared_ptr<kind_watch> m_manifest_watch;
+    std::shared_ptr<kind_watch> m_evacuation_watch; // Null unless the settings state the bound.
+    /// Service and evacuated failure domain that were logged as without keys.
+    std::set<std::pair<std::string, std::string>> m_emptied_domains;
     std::map<std::string, std::shared_ptr<key_service>> m_key_services;
     /// An instance that reports here.
     struct reporter {
--- a/src/include/balsampost/entry/forwarding.h
+++ b/src/include/balsampost/entry/forwarding.h
@@ -90,6 +90,7 @@
     /// Refuses the request if the instance stops too early to finish it. Returns whether it did.
     bool refuse_for_stop();
     void refuse(const char* reason, core::milliseconds retry_after, double min_jitter = 0.8);
+    void refuse_for_evacuation(core::milliseconds retry_after);
     void fail(unsigned status, const char* reason);
     void finish(caller_answer answer);
     std::string request_head(const core::backend& server, core::milliseconds left) const;
--- a/src/include/balsampost/entry/key_service.h
+++ b/src/include/balsampost/entry/key_service.h
@@ -27,6 +27,10 @@
 
     /// Replaces the listed servers of all services; see `key_coordinator::update_servers`.
     void update_servers(const std::vector<const core::backend*>& servers);
+    /// Replaces the evacuated failure domains; see `key_coordinator::update_evacuations`.
+    void update_evacuations(std::set<std::string> domains);
+    /// Whether servers in `domain` own keys or may still hold some.
+    bool has_keys_in(const std::string& domain) const { return m_coordinator.has_keys_in(domain); }
     void report(const core::key_report& r);
     /// Sets the maximum time that a request to the service may take.
     void set_max_request_time(core::milliseconds max) { m_coordinator.limit_request_time(max); }
--- a/src/include/balsampost/entry/kind_watch.h
+++ b/src/include/balsampost/entry/kind_watch.h
@@ -39,6 +39,15 @@
     publisher, ///< Always watches the store.
 };
 
+/// What the objects of a kind mean to their followers.
+enum class watch_content : std::uint8_t {
+    values, ///< Their values count, and only as long as they are known to be recent.
+    /// Only their names count, also after the store has become unavailable: changes are applied whatever the
+    /// age of the sender's data, and by a publisher as well. Values and names of more than 253 bytes are
+    /// dropped, so that the changes always fit into a message.
+    names,
+};
+
 /// Returns the delay before a call is repeated after `failures` consecutive failures. The delay is longer if
 /// the instance receives updates from a publisher, which retries as well and passes on the store's answer.
 core::milliseconds retry_delay(std::uint32_t failures, bool receives_updates);
@@ -48,9 +57,10 @@
     /// `max_age`: maximum age of data received from other instances; when it is older, this instance queries
     /// the store itself.
     kind_watch(object_store& store, timers& clock, std::string kind, core::milliseconds max_age,
-               watch_handlers handlers)
-        : m_store(store), m_timers(clock), m_kind(std::move(kind)), m_max_age(max_age),
-          m_handlers(std::move(handlers)) {}
+               watch_handlers handlers, watch_content content = watch_content::values)
+        : m_store(store), m_timers(clock), m_kind(std::move(kind)), m_max_age(max_age), m_content(content),
+          m_handlers(std::move(handlers)),
+          m_log(content == watch_content::names ? max_name_segment_bytes : max_segment_bytes) {}
 
     void start() { list(); }
     void stop() { m_stopped = true; }
@@ -67,6 +77,10 @@
     /// Applies a segment of another instance if it is recent enough and adjoins the current revision. Returns
     /// whether the sender has further changes for this instance.
     bool receive(const feed_segment& segment);
+    /// Applies the changes that an instance reports to this one, without relying on the age of its data.
+    void receive_changes(const feed_segment& segment);
+    /// Revision of the sender of the last segment of an update; 0 if there was none.
+    std::uint64_t sender_revision() const { return m_sender_revision; }
 
 private:
     void list();
@@ -82,6 +96,8 @@
     /// need no list of their own.
     void log_list(const object_list& list, core::time_point not_before);
     void apply(const std::vector<object_change>& changes, std::uint64_t revision);
+    /// Applies the changes of a segment. `known_before`: the data was complete as of then.
+    void apply(const feed_segment& segment, core::time_point known_before);
     void failed(store_fault fault, bool relist);
     /// The store answered: the data is complete as of `known_as_of`.
     void succeeded(core::time_point known_as_of);
@@ -99,6 +115,7 @@
     timers& m_timers;
     std::string m_kind;
     core::milliseconds m_max_age;
+    watch_content m_content;
     watch_handlers m_handlers;
     /// All changes up to it have been passed to the handlers.
     std::uint64_t m_revision = 0;
@@ -108,6 +125,7 @@
     std::map<std::string, std::uint64_t> m_objects;
     bool m_listed = false;
     bool m_stopped = false;
+    std::uint64_t m_sender_revision = 0;
     watch_role m_role = watch_role::follower;
     /// Another instance publishes: a timer resumes the watch, and no call is pending.
     bool m_paused = false;
--- a/src/include/balsampost/entry/peer_exchange.h
+++ b/src/include/balsampost/entry/peer_exchange.h
@@ -42,8 +42,11 @@
     std::uint32_t members = 0;
     /// The sender has recently lost its relay.
     bool lost_relay = false;
+    /// Evacuations that the sender knows and the receiver did not in its last update.
+    std::vector<feed_segment> feed;
 
-    MSGPACK_DEFINE(instance, keys, table, revisions, failure_domain, capacity_shortage, members, lost_relay);
+    MSGPACK_DEFINE(instance, keys, table, revisions, failure_domain, capacity_shortage, members, lost_relay,
+                   feed);
 };
 
 struct peer_update {
--- a/src/include/balsampost/entry/platform.h
+++ b/src/include/balsampost/entry/platform.h
@@ -82,6 +82,7 @@
     std::string backends;
     std::string manifests;
     std::string manifest_name; ///< Name of the object with the current manifest.
+    std::string evacuations;   ///< One object for each evacuated failure domain, under its name.
 };
 
 /// Names of the headers that callers, this system and backend servers exchange.
--- a/src/include/balsampost/entry/settings.h
+++ b/src/include/balsampost/entry/settings.h
@@ -46,8 +46,9 @@
     /// Additional retries that all instances together may make in one window.
     std::uint32_t repeat_slack = 10;
     core::milliseconds repeat_window{10'000};
-    /// An evacuated failure domain must receive no request after this time.
-    core::milliseconds evacuation_time{5'000};
+    /// An evacuated failure domain must receive no request after this time. 0: there are no evacuations, and
+    /// nothing is read of them.
+    core::milliseconds evacuation_time{0};
     /// A cold server may get this multiple of its rate, in thousandths ...
     std::uint32_t warmup_overage_permille = 1'500;
     /// ... and this many further requests in any second, from all instances together.
--- a/src/libbalsampost_entry/change_feed.cpp
+++ b/src/libbalsampost_entry/change_feed.cpp
@@ -9,11 +9,11 @@
 namespace {
 
 constexpr std::size_t max_batches = 64; // Several seconds of changes at the highest rate.
-// Two kinds and a key table share one datagram of 60 KiB.
-constexpr std::size_t max_segment_bytes = 20U << 10U;
-// Batches are cut at this size, so that a burst of changes is sent in several segments.
-constexpr std::size_t max_batch_bytes = 8U << 10U;
-constexpr std::size_t change_overhead_bytes = 48; // Name, revision and framing of one change.
+// Batches are cut at this part of a segment, so that a burst of changes is sent in several segments.
+constexpr std::size_t max_batch_percent = 40;
+constexpr std::size_t percent = 100;
+constexpr std::size_t change_overhead_bytes = 48; // Name, revision and framing of one change ...
+constexpr std::size_t usual_name_bytes = 24;      // ... if the name is no longer than this.
 
 } // namespace
 
@@ -32,6 +32,7 @@
         lowest_from[i] = std::min(lowest_from[i + 1], changes[i].object.revision);
     }
     batch b{m_revision, std::max(revision, m_revision), {}, 0};
+    const auto max_batch_bytes = m_max_segment * max_batch_percent / percent;
     auto highest = m_revision;
     for (std::size_t i = 0; i < changes.size(); ++i) {
         const auto& c = changes[i];
@@ -39,7 +40,8 @@
             const auto end = std::exchange(b.to, highest);
             add(std::exchange(b, batch{highest, end, {}, 0}));
         }
-        b.bytes += c.object.value.size() + change_overhead_bytes;
+        b.bytes += c.object.value.size() + change_overhead_bytes +
+                   (std::max(c.object.name.size(), usual_name_bytes) - usual_name_bytes);
         b.changes.push_back(
             {c.object.name, c.object.revision, c.object.value, c.removed, unknown_age_ms, c.not_before});
         highest = std::max(highest, c.object.revision);
@@ -49,7 +51,7 @@
 
 void change_log::add(batch b) {
     m_revision = b.to;
-    if (b.bytes > max_segment_bytes) {
+    if (b.bytes > m_max_segment) {
         b.changes = {}; // Never sent: without its content, the size of the log is bounded.
     }
     m_batches.push_back(std::move(b));
@@ -71,12 +73,12 @@
         --first;
     }
     if (first == m_batches.size() || m_batches[first].from > revision ||
-        m_batches[first].bytes > max_segment_bytes) {
+        m_batches[first].bytes > m_max_segment) {
         return segment;
     }
     segment.from = m_batches[first].from;
     std::size_t bytes = 0;
-    for (; first < m_batches.size() && bytes + m_batches[first].bytes <= max_segment_bytes; ++first) {
+    for (; first < m_batches.size() && bytes + m_batches[first].bytes <= m_max_segment; ++first) {
         const auto& b = m_batches[first];
         bytes += b.bytes;
         segment.to = b.to;
--- a/src/libbalsampost_entry/entry.cpp
+++ b/src/libbalsampost_entry/entry.cpp
@@ -137,7 +137,8 @@
 }
 
 bool entry::ready() const {
-    return !m_stopping && m_state.routes() && m_backend_watch && m_backend_watch->listed();
+    return !m_stopping && m_state.routes() && m_backend_watch && m_backend_watch->listed() &&
+           (!m_evacuation_watch || m_evacuation_watch->listed());
 }
 
 // Keyed services
@@ -178,6 +179,7 @@
             }
         }
         runner->update_servers(servers);
+        runner->update_evacuations(evacuated_domains());
     }
 }
 
--- a/src/libbalsampost_entry/entry_metrics.cpp
+++ b/src/libbalsampost_entry/entry_metrics.cpp
@@ -69,6 +69,12 @@
                               "Listed servers that say in their answers that they leave")),
       m_paused_servers(gauge(*m_registry, "balsampost_servers_paused",
                              "Listed servers that asked this instance for a pause that runs")),
+      m_refused_for_evacuation(
+          counters(*m_registry, "balsampost_refused_for_evacuation_total",
+                   "Requests refused because all servers for them are in evacuated failure domains")
+              .Add({})),
+      m_evacuated_domains(gauge(*m_registry, "balsampost_evacuated_domains",
+                                "Failure domains that are evacuated as this instance knows")),
       m_unknown_config_values(counters(*m_registry, "balsampost_config_values_unknown_total",
                                        "Values of routes that are not known; the strictest ones are used")
                                   .Add({})),
--- a/src/libbalsampost_entry/entry_store_watches.cpp
+++ b/src/libbalsampost_entry/entry_store_watches.cpp
@@ -87,6 +87,15 @@
                                                     std::move(manifests));
     m_backend_watch->start();
     m_manifest_watch->start();
+    start_evacuation_watch(max_age);
+}
+
+std::vector<std::shared_ptr<kind_watch>> entry::watches() const {
+    std::vector<std::shared_ptr<kind_watch>> out{m_backend_watch, m_manifest_watch};
+    if (m_evacuation_watch) {
+        out.push_back(m_evacuation_watch);
+    }
+    return out;
 }
 
 void entry::backend_received(const stored_object& object, core::time_point not_before) {
@@ -174,14 +183,14 @@
             role = runner->leads() ? watch_role::publisher : watch_role::relay;
         }
     }
-    for (const auto& watch : {m_backend_watch, m_manifest_watch}) {
+    for (const auto& watch : watches()) {
         watch->set_role(role);
     }
 }
 
 std::map<std::string, std::uint64_t> entry::known_revisions() const {
     std::map<std::string, std::uint64_t> out;
-    for (const auto& watch : {m_backend_watch, m_manifest_watch}) {
+    for (const auto& watch : watches()) {
         if (watch->listed()) {
             out[watch->kind()] = watch->revision();
         }
@@ -191,7 +200,7 @@
 
 std::vector<feed_segment> entry::feed_since(const std::map<std::string, std::uint64_t>& known) const {
     std::vector<feed_segment> out;
-    for (const auto& watch : {m_backend_watch, m_manifest_watch}) {
+    for (const auto& watch : watches()) {
         const auto at = known.find(watch->kind());
         if (at != known.end()) {
             out.push_back(watch->segment_since(at->second));
@@ -209,7 +218,7 @@
 bool entry::apply_feed(const std::vector<feed_segment>& feed) {
     bool has_more = false;
     for (const auto& segment : feed) {
-        for (const auto& watch : {m_backend_watch, m_manifest_watch}) {
+        for (const auto& watch : watches()) {
             if (watch->kind() == segment.kind) {
                 has_more = watch->receive(segment) || has_more;
             }
--- a/src/libbalsampost_entry/entry_updates.cpp
+++ b/src/libbalsampost_entry/entry_updates.cpp
@@ -63,6 +63,7 @@
                                                {"coordinator", table.coordinator},
                                                {"runs", std::to_string(table.ranges.size())}});
     m_state.set_table(service, view.tables.table());
+    log_emptied_domains(service);
     push_soon(service);
 }
 
@@ -209,6 +210,9 @@
     out.capacity_shortage = m_settings.resources.capacity_shortage();
     out.members = subtree_size(service) - 1;
     out.lost_relay = now() < view.relay_avoided_until;
+    if (carries_feed(service)) {
+        out.feed = evacuations_to_report();
+    }
     return out;
 }
 
@@ -268,6 +272,7 @@
                        {{"from", report.instance}, {"covered_ms", std::to_string(report.keys.covered_ms)}});
         report.keys.drop_counts();
     }
+    apply_reported_evacuations(report.feed);
     if (leads) {
         runner->second->report(report.keys);
     } else {
--- a/src/libbalsampost_entry/forwarding.cpp
+++ b/src/libbalsampost_entry/forwarding.cpp
@@ -188,6 +188,10 @@
         return;
     }
     core::selection choice;
+    if (m_key && service->pool.all_evacuated(at)) {
+        refuse_for_evacuation(owner_retry_after); // No server can become the owner, so none is waited for.
+        return;
+    }
     if (m_key) {
         const auto* run = service->table ? service->table->find(*m_key) : nullptr;
         if (run == nullptr || run->owner.empty() || run->moving() || run->fence <= m_stale_fence) {
@@ -220,6 +224,10 @@
             refuse("the servers asked for a pause", choice.retry_after, min_pause_jitter);
             return;
         }
+        if (choice.evacuated) {
+            refuse_for_evacuation(choice.retry_after);
+            return;
+        }
         refuse("no server can finish before the deadline", choice.retry_after);
         return;
     }
@@ -526,6 +534,11 @@
     finish(std::move(answer));
 }
 
+void forwarding::refuse_for_evacuation(core::milliseconds retry_after) {
+    m_context.metrics.refused_for_evacuation();
+    refuse("all servers for the request are in evacuated failure domains", retry_after);
+}
+
 void forwarding::fail(unsigned status, const char* reason) {
     telemetry::log(event::request_failed, {{"request", std::string(id())},
                                            {"service", m_service},
--- a/src/libbalsampost_entry/key_service.cpp
+++ b/src/libbalsampost_entry/key_service.cpp
@@ -93,6 +93,11 @@
     step();
 }
 
+void key_service::update_evacuations(std::set<std::string> domains) {
+    m_coordinator.update_evacuations(std::move(domains), now());
+    step();
+}
+
 void key_service::report(const core::key_report& r) {
     m_coordinator.report(r, now());
     for (const auto& id : r.unreachable) {
--- a/src/libbalsampost_entry/kind_watch.cpp
+++ b/src/libbalsampost_entry/kind_watch.cpp
@@ -43,6 +43,17 @@
 // Without an update for this long, the publisher is taken as lost.
 constexpr core::milliseconds publisher_timeout{1'200};
 
+constexpr std::size_t max_object_name_bytes = 253;
+
+/// Reduces objects or changes to their names, without those that no store can have accepted.
+template <class T, class Object>
+void keep_names(std::vector<T>& all, Object object) {
+    std::erase_if(all, [&](T& one) { return object(one).name.size() > max_object_name_bytes; });
+    for (auto& one : all) {
+        object(one).value.clear();
+    }
+}
+
 } // namespace
 
 const char* to_string(store_fault fault) {
@@ -81,6 +92,9 @@
         failed(answer.error(), true);
         return;
     }
+    if (m_content == watch_content::names) {
+        keep_names(answer->objects, [](auto& o) -> stored_object& { return o; });
+    }
     const auto not_before = m_known_as_of;
     succeeded(sent);
     log_list(*answer, not_before);
@@ -144,6 +158,9 @@
                answer.error() == store_fault::history_gone || answer.error() == store_fault::malformed);
         return;
     }
+    if (m_content == watch_content::names) {
+        keep_names(answer->changes, [](auto& c) -> stored_object& { return c.object; });
+    }
     for (auto& change : answer->changes) {
         change.not_before = earliest_change(sent);
     }
@@ -249,8 +266,13 @@
 
 bool kind_watch::receive(const feed_segment& segment) {
     m_last_peer_update = now();
+    m_sender_revision = segment.latest;
     const auto until = now() + m_max_age - core::milliseconds{segment.age_ms};
-    if (!m_listed || m_role == watch_role::publisher || !can_apply(segment, m_revision) || until <= now()) {
+    if (m_role == watch_role::publisher || until <= now()) {
+        receive_changes(segment);
+        return false;
+    }
+    if (!m_listed || !can_apply(segment, m_revision)) {
         return false;
     }
     const auto known_before = m_known_as_of;
@@ -263,18 +285,31 @@
         }
     }
     m_handlers.grace_received(core::milliseconds{segment.grace_ms});
+    apply(segment, known_before);
+    return segment.has_more();
+}
+
+void kind_watch::receive_changes(const feed_segment& segment) {
+    if (m_content == watch_content::names && m_listed && can_apply(segment, m_revision)) {
+        apply(segment, m_known_as_of);
+    }
+}
+
+void kind_watch::apply(const feed_segment& segment, core::time_point known_before) {
     if (segment.to == m_revision) {
-        return segment.has_more();
+        return;
     }
     std::vector<object_change> changes;
     for (const auto& c : segment.changes) {
         const auto not_before =
             c.max_age_ms < unknown_age_ms ? now() - core::milliseconds{c.max_age_ms} : core::never;
-        changes.push_back(
-            {{c.name, c.revision, c.value}, c.removed, std::max<core::time_point>(known_before, not_before)});
+        // A change that is repeated was known before, so its time is the sender's alone.
+        const bool repeated = m_content == watch_content::names && c.revision <= m_revision;
+        changes.push_back({{c.name, c.revision, c.value},
+                           c.removed,
+                           repeated ? not_before : std::max<core::time_point>(known_before, not_before)});
     }
     apply(changes, segment.to);
-    return segment.has_more();
 }
 
 // Failures of the store
--- a/src/libbalsampost_entry/settings.cpp
+++ b/src/libbalsampost_entry/settings.cpp
@@ -31,7 +31,8 @@
     {"address", true, &store_settings::address},
 }};
 
-const std::array<key_rule<bound_settings>, 8> bound_keys{{
+const std::array<key_rule<bound_settings>, 9> bound_keys{{
+    {"evacuation_time_ms", false, &bound_settings::evacuation_time, 0, 600'000},
     {"stop_time_ms", false, &bound_settings::stop_time, 100, 600'000},
     {"backend_beat_ms", false, &bound_settings::backend_heartbeat, 10, 600'000},
     {"longest_hold_ms", false, &bound_settings::max_hold, 500, 600'000},
--- a/src/libbalsampost_entry/traffic_state.cpp
+++ b/src/libbalsampost_entry/traffic_state.cpp
@@ -22,9 +22,21 @@
     return out;
 }
 
+/// The set of evacuated failure domains, empty at first. Those of the settings always have room in it.
+std::shared_ptr<core::evacuation::evacuated_domains> evacuations_of(const settings& s) {
+    core::evacuation::evacuation_settings out;
+    out.owner_period = core::evacuation::owner_period_of(s.bounds.evacuation_time);
+    std::set<std::string> known;
+    for (const auto& [domain, region] : s.regions) {
+        known.insert(domain);
+    }
+    return std::make_shared<core::evacuation::evacuated_domains>(out, std::move(known));
+}
+
 } // namespace
 
-traffic_state::traffic_state(const settings& s) : m_settings(s), m_instances(assumed_instances) {}
+traffic_state::traffic_state(const settings& s)
+    : m_settings(s), m_evacuations(evacuations_of(s)), m_instances(assumed_instances) {}
 
 void traffic_state::set_manifest(core::manifest m) {
     m_routes = std::make_shared<const core::route_index>(std::move(m));
@@ -49,6 +61,7 @@
                                                  {},
                                                  core::never})
                     .first;
+            found->second.pool.set_evacuations(m_evacuations);
         }
         found->second.keyed = service.keyed;
     }
