entry: updates to other instances take turns and keep to a rate of the link

Cause: in a burst of changes an update is tens of kilobytes; a relay sent it to all members at once in the order of their names, and what the link did not take was lost for the same members each time. Whether a server may still be used is asked again right before the first byte is written on a new connection (may_send).

--- a/src/include/balsampost/core/server_selection.h
+++ b/src/include/balsampost/core/server_selection.h
@@ -108,6 +108,10 @@
     /// Selects `server`, the owner of the request's key, if it is expected to finish in time.
     selection check(const std::string& server, const selection_request& request, time_point now) const;
 
+    /// Whether a request that was selected for the server earlier may still be sent to it. `owner`: the
+    /// server was selected as the owner of the request's key.
+    bool may_send(const std::string& server, bool owner, time_point now) const;
+
     void attempt_started(const std::string& server, time_point now);
     /// `took`: time from sending the request to the end of the attempt.
     void attempt_ended(const std::string& server, attempt_result result, milliseconds took,
@@ -167,6 +171,8 @@
     bool leaves(const state& s) const;
     /// Earliest time at which the server may have reported that it leaves.
     time_point leaving_since(const state& s) const;
+    /// Whether the server leaves and even the owner of a key may get no more requests.
+    bool owner_period_ended(const state& s, time_point now) const;
     milliseconds time_until_capacity(const state& s, double expected, double max_expected) const;
 
     selection_settings m_settings;
--- a/src/include/balsampost/entry/entry.h
+++ b/src/include/balsampost/entry/entry.h
@@ -1,6 +1,7 @@
 // The router process between callers and backend servers. Owns all components and runs them on one thread.
 #pragma once
 
+#include "balsampost/core/relay/update_schedule.h"
 #include "balsampost/core/relay_plan.h"
 #include "balsampost/entry/caller_listener.h"
 #include "balsampost/entry/descriptor_room.h"
@@ -79,6 +80,8 @@
     /// Schedules an update to all instances that report here, after a short delay that merges changes.
     void push_soon(const std::string& service);
     void push(const std::string& service);
+    /// Sends the updates that are due now, and sets a timer for the next ones.
+    void send_updates();
     /// As the coordinator, assigns the direct reporters to relays.
     void plan_tree(const std::string& service, key_service& runner);
     /// Number of instances in the tree below this one, itself included.
@@ -168,6 +171,9 @@
     };
     /// By service name.
     std::map<std::string, service_view> m_service_views;
+    core::relay::update_schedule m_updates;
+    /// Time of the timer that sends the next updates; never if none is set.
+    core::time_point m_updates_due = core::never;
     std::uint64_t m_manifest_version = 0;
     bool m_expiry_armed = false;
     bool m_stopping = false;
--- a/src/include/balsampost/entry/forwarding.h
+++ b/src/include/balsampost/entry/forwarding.h
@@ -82,6 +82,8 @@
     void send_attempt(const std::string& server);
     void on_attempt_end(const core::backend& server, core::time_point sent, exchange_result& result,
                         bool& reusable);
+    /// The server may no longer be used and got nothing: another one, or the key's next owner, is used.
+    void withdrawn(const core::backend& server);
     /// Classifies the result; an answer with another request's id counts as broken.
     core::attempt_result classify(const exchange_result& result) const;
     bool may_retry() const;
--- a/src/include/balsampost/entry/http_client.h
+++ b/src/include/balsampost/entry/http_client.h
@@ -36,6 +36,7 @@
     bool refused = false;   ///< `not_sent` because the connection was refused.
     bool connected = false; ///< Only for `connect_only`: the connection was established.
     bool timed_out = false; ///< `not_sent` or `lost` because of a timeout.
+    bool withdrawn = false; ///< `not_sent` because `may_send` no longer allowed it.
     bool malformed = false; ///< `lost` because the response broke the protocol or a limit.
     bool reused = false;    ///< The connection had served a request before.
 };
@@ -47,6 +48,9 @@
     bool connect_only = false;   ///< Only checks whether the address accepts connections; sends nothing.
     bool new_connection = false; ///< Does not reuse a connection.
     core::time_point deadline = core::time_point::max();
+    /// Asked right before the first byte is sent on a new connection, which may have taken some time to
+    /// establish. Empty: always allowed.
+    std::function<bool()> may_send;
 };
 
 /// Called once with the result; returns whether the connection may be reused.
--- a/src/include/balsampost/entry/peer_exchange.h
+++ b/src/include/balsampost/entry/peer_exchange.h
@@ -92,13 +92,14 @@
 
     /// Throws `boost::system::system_error` if the address cannot be bound; may be called again then.
     void start(const core::endpoint& at);
-    void send(const core::endpoint& to, const peer_report& report);
-    void send(const core::endpoint& to, const peer_update& update);
+    /// Sends a datagram; returns its size, or 0 if the socket took none.
+    std::size_t send(const core::endpoint& to, const peer_report& report);
+    std::size_t send(const core::endpoint& to, const peer_update& update);
 
 private:
     void receive();
     void received(std::size_t size);
-    void send_bytes(const core::endpoint& to, const char* data, std::size_t size);
+    std::size_t send_bytes(const core::endpoint& to, const char* data, std::size_t size);
 
     net::asio::ip::udp::socket m_socket;
     handlers m_handlers;
--- a/src/include/balsampost/entry/settings.h
+++ b/src/include/balsampost/entry/settings.h
@@ -64,6 +64,7 @@
 
     /// Returns 0 for an instance with ample capacity to coordinate others, up to 1 for one with next to none.
     double capacity_shortage() const;
+    double link_bytes_per_s() const;
 };
 
 struct log_settings {
--- a/src/libbalsampost_core/routing_test.cpp
+++ b/src/libbalsampost_core/routing_test.cpp
@@ -42,6 +42,7 @@
     CPPUNIT_TEST(nearby_servers_are_chosen_until_they_are_busy);
     CPPUNIT_TEST(backed_off_and_draining_servers_are_not_chosen);
     CPPUNIT_TEST(draining_counts_from_the_earliest_possible_report);
+    CPPUNIT_TEST(a_selected_server_may_leave_before_the_request_is_sent);
     CPPUNIT_TEST(bad_estimates_decay);
     CPPUNIT_TEST(servers_that_always_queue_yield_samples);
     CPPUNIT_TEST(overload_is_refused_and_served_requests_are_on_time);
@@ -220,6 +221,26 @@
 
     /// Guards against requests at a server that left long ago: an instance learnt late that the server
     /// leaves, and counted the period from then.
+    /// A connection takes up to its timeout to establish; the decision must still hold then.
+    void a_selected_server_may_leave_before_the_request_is_sent() {
+        backend_directory d;
+        d.put(make_backend("x", "a1"), begin);
+        server_pool pool({}, "a1", regions);
+        pool.update({d.find("x")}, 1000, 1);
+        CPPUNIT_ASSERT(pool.may_send("x", false, begin) && pool.may_send("x", true, begin));
+        CPPUNIT_ASSERT(!pool.may_send("y", false, begin));
+        auto leaving = make_backend("x", "a1");
+        leaving.draining = true;
+        const auto at = begin + seconds{10};
+        d.put(leaving, at);
+        pool.update({d.find("x")}, 1000, 1);
+        CPPUNIT_ASSERT(!pool.may_send("x", false, at));
+        CPPUNIT_ASSERT(pool.may_send("x", true, at + milliseconds{1'400}));
+        CPPUNIT_ASSERT(!pool.may_send("x", true, at + milliseconds{1'500}));
+        pool.update({}, 1000, 1);
+        CPPUNIT_ASSERT(!pool.may_send("x", true, at));
+    }
+
     void draining_counts_from_the_earliest_possible_report() {
         const selection_request request{milliseconds{400}, milliseconds{1'000}, 0, {}};
         const auto served_at = [&](time_point not_before, time_point read_at, time_point at) {
--- a/src/libbalsampost_core/server_selection.cpp
+++ b/src/libbalsampost_core/server_selection.cpp
@@ -158,6 +158,16 @@
     return std::min(s.info.draining_since, by_own_word);
 }
 
+bool server_pool::owner_period_ended(const state& s, time_point now) const {
+    return leaves(s) && now >= after(leaving_since(s), m_settings.draining_owner_period);
+}
+
+bool server_pool::may_send(const std::string& server, bool owner, time_point now) const {
+    const auto found = m_servers.find(server);
+    return found != m_servers.end() &&
+           !(owner ? owner_period_ended(found->second, now) : leaves(found->second));
+}
+
 milliseconds server_pool::time_until_capacity(const state& s, double expected, double max_expected) const {
     const double slots = std::max<std::uint32_t>(s.info.slots, 1);
     const milliseconds retry{
@@ -212,8 +222,7 @@
                              time_point now) const {
     const auto found = m_servers.find(server);
     if (found == m_servers.end() || now < found->second.backoff_until ||
-        (leaves(found->second) &&
-         now >= after(leaving_since(found->second), m_settings.draining_owner_period))) {
+        owner_period_ended(found->second, now)) {
         return {"", milliseconds{0}, min_retry_after};
     }
     const auto& s = found->second;
--- a/src/libbalsampost_entry/entry.cpp
+++ b/src/libbalsampost_entry/entry.cpp
@@ -38,6 +38,15 @@
 // interval.
 constexpr double max_extra_poll_stretch = 3;
 
+// Part of the link that updates to other instances may use; callers and servers have the rest.
+constexpr double updates_link_share = 0.5;
+
+core::relay::schedule_settings schedule_settings_of(const settings& s) {
+    core::relay::schedule_settings out;
+    out.bytes_per_s = s.resources.link_bytes_per_s() * updates_link_share;
+    return out;
+}
+
 core::coordinator_settings coordinator_settings_of(const settings& s) {
     core::coordinator_settings out;
     out.max_hold = s.bounds.max_hold;
@@ -109,7 +118,8 @@
       m_peers(m_context, {[this](const auto& r, const auto& from) { report_received(r, from); },
                           [this](const auto& u, const auto& from) { update_received(u, from); }}),
       m_signals(m_context, SIGTERM, SIGINT, SIGHUP),
-      m_incarnation_id(incarnation_id(m_settings.instance.name, m_started)) {
+      m_incarnation_id(incarnation_id(m_settings.instance.name, m_started)),
+      m_updates(schedule_settings_of(m_settings)) {
     m_client.limit_connections([this] { return m_room.has_room(core::descriptor_use::servers); });
     m_room.count(core::descriptor_use::servers, [this] { return m_client.connection_count(); });
     const auto control_has_room = [this] { return m_room.has_room(core::descriptor_use::control); };
--- a/src/libbalsampost_entry/entry_updates.cpp
+++ b/src/libbalsampost_entry/entry_updates.cpp
@@ -276,9 +276,8 @@
             return; // The sender is up to date.
         }
     }
-    auto update = update_for(service, report.table, report.revisions);
-    update.relay = sender.relay.port != 0 ? core::to_string(sender.relay) : "";
-    m_peers.send(from, update);
+    m_updates.request({service, report.instance});
+    send_updates();
 }
 
 void entry::plan_tree(const std::string& service, key_service& runner) {
@@ -342,18 +341,45 @@
     }
     auto& view = m_service_views[service];
     view.pushed_at = now();
-    // Most reporters have the same versions, so each distinct update is built once.
-    std::map<std::pair<table_version, std::map<std::string, std::uint64_t>>, peer_update> updates;
     for (const auto& [name, r] : view.reporters) {
-        auto found = updates.find({r.table, r.revisions});
-        if (found == updates.end()) {
-            found =
-                updates.emplace(std::pair(r.table, r.revisions), update_for(service, r.table, r.revisions))
-                    .first;
+        m_updates.request({service, name});
+    }
+    send_updates();
+}
+
+void entry::send_updates() {
+    // Most reporters have the same versions, so each distinct update is built once.
+    std::map<std::tuple<std::string, table_version, std::map<std::string, std::uint64_t>>, peer_update>
+        updates;
+    while (const auto receiver = m_updates.next(now())) {
+        const auto& reporters = m_service_views[receiver->service].reporters;
+        const auto found = reporters.find(receiver->instance);
+        if (found == reporters.end() || !m_key_services.contains(receiver->service)) {
+            continue;
         }
-        found->second.relay = r.relay.port != 0 ? core::to_string(r.relay) : "";
-        m_peers.send(r.address, found->second);
+        const auto& r = found->second;
+        const auto [update, is_new] =
+            updates.try_emplace({receiver->service, r.table, r.revisions}, peer_update{});
+        if (is_new) {
+            update->second = update_for(receiver->service, r.table, r.revisions);
+        }
+        update->second.relay = r.relay.port != 0 ? core::to_string(r.relay) : "";
+        const auto bytes = m_peers.send(r.address, update->second);
+        if (bytes == 0) {
+            m_updates.blocked(*receiver, now());
+            break;
+        }
+        m_updates.sent(bytes, now());
     }
+    const auto due = m_updates.next_due(now());
+    if (due == core::time_point::max() || (m_updates_due != core::never && m_updates_due <= due)) {
+        return;
+    }
+    m_updates_due = due;
+    m_timers.at(due, [this] {
+        m_updates_due = core::never;
+        contained("updates for other instances", [&] { send_updates(); });
+    });
 }
 
 void entry::update_received(const peer_update& update, const core::endpoint& from) {
--- a/src/libbalsampost_entry/forwarding.cpp
+++ b/src/libbalsampost_entry/forwarding.cpp
@@ -247,6 +247,10 @@
     // same request was sent there before, or has no id.
     request.new_connection = !m_route->idempotent() || id().empty() || (m_key && m_delivered_attempts > 0);
     request.deadline = m_deadline + orphaned_exchange_time;
+    request.may_send = [&state = m_context.state, name = m_service, server, owner = m_key.has_value()] {
+        const auto* s = state.find(name);
+        return s != nullptr && s->pool.may_send(server, owner, now());
+    };
     if (m_context.client.connections_to(backend.address) >= service->pool.connection_share()) {
         // Idle connections count towards the server's limit: close them to make place for a new one.
         if (request.new_connection) {
@@ -311,6 +315,10 @@
         }
         return;
     }
+    if (result.withdrawn) { // Says nothing about the server either.
+        withdrawn(server);
+        return;
+    }
     const auto at = now();
     const auto outcome = classify(result);
     const auto elapsed = std::chrono::duration_cast<core::milliseconds>(at - sent);
@@ -398,6 +406,22 @@
                                                                : "the answer was lost or damaged");
 }
 
+void forwarding::withdrawn(const core::backend& server) {
+    if (auto* service = m_context.state.find(m_service)) {
+        service->pool.attempt_abandoned(server.self.id);
+    }
+    if (m_finished || m_caller_disconnected) {
+        return;
+    }
+    telemetry::log(event::attempt_failed,
+                   {{"request", std::string(id())}, {"server", server.self.id}, {"outcome", "withdrawn"}});
+    if (m_key) {
+        wait_for_owner(0);
+    } else {
+        try_next_server();
+    }
+}
+
 bool forwarding::may_retry() const {
     return m_delivered_attempts < m_route->max_attempts && now() + min_time_left < m_deadline;
 }
--- a/src/libbalsampost_entry/http_client.cpp
+++ b/src/libbalsampost_entry/http_client.cpp
@@ -186,6 +186,11 @@
             fail("connected", false);
             return;
         }
+        if (m_request.may_send && !m_request.may_send()) {
+            m_withdrawn = true;
+            fail("the server may no longer be used", false);
+            return;
+        }
         m_open = true;
         m_socket.non_blocking(true, ec);
         cancel_timer();
@@ -396,6 +401,7 @@
         result.no_room = m_no_room;
         result.connected = m_connect_succeeded;
         result.timed_out = timed_out;
+        result.withdrawn = m_withdrawn;
         result.malformed = m_malformed;
         result.reused = m_completed > 0;
         const auto self = shared_from_this();
@@ -437,6 +443,7 @@
     bool m_has_room = true;      // Of the owner, when the connection was made.
     bool m_no_room = false;
     bool m_refused = false;
+    bool m_withdrawn = false;         // `may_send` did not allow the request any more.
     bool m_malformed = false;         // The response broke the protocol or a limit.
     bool m_connect_succeeded = false; // Set only for connect_only requests.
     bool m_closed = false;
--- a/src/libbalsampost_entry/http_client_test.cpp
+++ b/src/libbalsampost_entry/http_client_test.cpp
@@ -79,8 +79,38 @@
     CPPUNIT_TEST(endless_responses_are_cut_off);
     CPPUNIT_TEST(responses_share_a_memory_limit);
     CPPUNIT_TEST(default_limits_suit_a_small_instance);
+    CPPUNIT_TEST(a_request_that_is_withdrawn_while_connecting_is_not_sent);
     CPPUNIT_TEST_SUITE_END();
 
+    /// Guards against a request that reaches a server whose time to leave passed while the connection was
+    /// made.
+    void a_request_that_is_withdrawn_while_connecting_is_not_sent() {
+        for (const bool allowed : {true, false}) {
+            net::asio::io_context context{1};
+            timers timer_queue(context);
+            http_client client(context, timer_queue, {});
+            echo_backend server(context);
+            bool may_send = true;
+            exchange_request request;
+            request.head = "GET /x HTTP/1.1\r\nRequest-Id: req-1\r\n\r\n";
+            request.deadline = now() + 60'000ms;
+            request.may_send = [&] { return may_send; };
+            std::optional<exchange_result> ended;
+            client.start(server.at(), std::move(request), [&](exchange_result& result) {
+                ended = std::move(result);
+                return true;
+            });
+            may_send = allowed;
+            while (!ended) {
+                context.restart();
+                context.run_for(1ms);
+            }
+            CPPUNIT_ASSERT_EQUAL(!allowed, ended->withdrawn);
+            CPPUNIT_ASSERT(ended->end == (allowed ? exchange_end::answered : exchange_end::not_sent));
+            CPPUNIT_ASSERT_EQUAL(std::size_t{allowed ? 1U : 0U}, server.seen().size());
+        }
+    }
+
     void endless_responses_are_cut_off() {
         struct row {
             const char* name;
--- a/src/libbalsampost_entry/peer_exchange.cpp
+++ b/src/libbalsampost_entry/peer_exchange.cpp
@@ -144,21 +144,21 @@
     }
 }
 
-void peer_exchange::send(const core::endpoint& to, const peer_report& report) {
+std::size_t peer_exchange::send(const core::endpoint& to, const peer_report& report) {
     msgpack::sbuffer out;
     pack_message(out, message_type::report, report);
-    send_bytes(to, out.data(), out.size());
+    return send_bytes(to, out.data(), out.size());
 }
 
-void peer_exchange::send(const core::endpoint& to, const peer_update& update) {
+std::size_t peer_exchange::send(const core::endpoint& to, const peer_update& update) {
     msgpack::sbuffer out;
     pack_message(out, message_type::update, update);
-    send_bytes(to, out.data(), out.size());
+    return send_bytes(to, out.data(), out.size());
 }
 
-void peer_exchange::send_bytes(const core::endpoint& to, const char* data, std::size_t size) {
+std::size_t peer_exchange::send_bytes(const core::endpoint& to, const char* data, std::size_t size) {
     if (to.port == 0) {
-        return;
+        return size; // Nobody to send to: not the socket's fault.
     }
     net::error_code ec;
     m_socket.send_to(net::asio::buffer(data, size), {net::asio::ip::make_address(to.address), to.port}, 0,
@@ -166,7 +166,10 @@
     if (ec) {
         telemetry::log(event::report_unusable,
                        {{"reason", "not sent: " + ec.message()}, {"to", core::to_string(to)}});
+        // Only a full socket takes it later; any other error, such as a datagram that is too long, stays.
+        return ec == net::asio::error::would_block || ec == net::asio::error::no_buffer_space ? 0 : size;
     }
+    return size;
 }
 
 } // namespace balsampost::entry
--- a/src/libbalsampost_entry/settings.cpp
+++ b/src/libbalsampost_entry/settings.cpp
@@ -169,6 +169,11 @@
     return 1 - std::min(cpu, link);
 }
 
+double resource_settings::link_bytes_per_s() const {
+    constexpr double bytes_per_megabit = 1e6 / 8;
+    return positive(link_mbps).value_or(ample_link_mbps) * bytes_per_megabit;
+}
+
 tl::expected<settings, std::vector<core::ini_error>> parse_settings(const std::string& text,
                                                                     const std::string& file) {
     const auto parsed = core::parse_ini(text, file);
