--- a/src/libbalsampost_core/evacuation/evacuated_domains_test.cpp
+++ b/src/libbalsampost_core/evacuation/evacuated_domains_test.cpp
@@ -271,6 +271,8 @@
                           for (const auto& [name, since] : model) {
                               const bool served = !f.pool.check(name + "1", {}, now).server.empty();
                               RC_ASSERT(served == (now - since < milliseconds{3'750}));
+                              RC_ASSERT(f.pool.may_send(name + "1", true, now) == served);
+                              RC_ASSERT(!f.pool.may_send(name + "1", false, now));
                           }
                       }
                   });
