core, entry: requests and owners of keys stay in the allowed regions

Cause: allowed_regions of a route was decoded and not used, so its requests and the owners of its keys could be in any region. If nothing is left because of it, the request is refused at once without Retry-After, with a reason of its own and a metric. owner_placement tells key_coordinator which servers may own keys: those in the intersection over all routes of the service, or any if no server is there; keys of a region that was lost as the last one wait for it. Requests are refused at once if the owner of their key is outside, or lost with its region. A region that no setting knows is one error line (204) and a metric.

--- a/src/include/balsampost/core/key_coordinator.h
+++ b/src/include/balsampost/core/key_coordinator.h
@@ -20,6 +20,7 @@
 
 #include "balsampost/core/admission.h"
 #include "balsampost/core/key_plan.h"
+#include "balsampost/core/residency/owner_placement.h"
 
 #include <algorithm>
 #include <map>
@@ -190,6 +191,11 @@
     void server_may_have_restarted(const incarnation& which);
     /// Sets the longest time a request can run at a server: the longest timeout of the service's routes.
     void limit_request_time(milliseconds longest) { m_settings.max_request_time = longest; }
+    /// Sets the regions in which owners may be. Keys of owners outside move as those of leaving servers do,
+    /// as soon as a server inside can own keys; see `residency::owner_placement`. `regions`: region by
+    /// failure domain. Returns whether the limit has changed.
+    bool limit_owner_regions(residency::region_limit limit,
+                             const std::map<std::string, std::string>& regions);
     /// The process with this instance id has certainly ended.
     void instance_ended(const std::string& instance) { m_ended_instances.insert(instance); }
     void report(const key_report& r, time_point now);
@@ -308,7 +314,9 @@
     std::vector<key_server> owners() const;
     /// Whether the server is listed, neither leaving by the list nor by its own word, not ended and not
     /// marked lost.
-    bool can_own(const incarnation& which) const;
+    bool is_usable(const incarnation& which) const;
+    /// Whether the server is usable and may own keys under the region limit.
+    bool can_own(const incarnation& which) const { return is_usable(which) && m_placement.may_own(which); }
     void server_ended(const incarnation& which);
     /// Updates whether a server counts as unreachable from the outcome of an order.
     void update_reachability(const incarnation& server, order_outcome outcome, time_point now);
@@ -371,6 +379,7 @@
     std::map<incarnation, unreachable_server> m_unreachable;
     /// Listed servers that say in their answers that they leave, as instances report.
     std::set<incarnation> m_leaving;
+    residency::owner_placement m_placement; // Updated before each plan.
     service_time_estimates m_service_times;
     time_point m_last_server_added = never;
 
--- a/src/include/balsampost/core/server_selection.h
+++ b/src/include/balsampost/core/server_selection.h
@@ -5,6 +5,7 @@
 
 #include "balsampost/core/backend_directory.h"
 #include "balsampost/core/manifest.h"
+#include "balsampost/core/residency/region_limit.h"
 #include "balsampost/core/server_notices.h"
 
 #include <map>
@@ -77,6 +78,8 @@
     std::uint64_t body_bytes = 0;
     /// Ids of servers that were already tried.
     std::vector<std::string> excluded_servers;
+    /// Regions whose servers may get the request.
+    residency::region_limit allowed_regions{};
 };
 
 struct selection {
@@ -88,6 +91,8 @@
     milliseconds retry_after{0};
     /// There is no server because those that could serve asked for a pause; it ends after `retry_after`.
     bool paused = false;
+    /// There is no server because of the allowed regions; when one will be available is not known.
+    bool outside_regions = false;
 };
 
 /// The servers of one service and this instance's estimates of them. Not thread-safe.
@@ -116,6 +121,8 @@
     /// change.
     void attempt_abandoned(const std::string& server);
 
+    /// Whether a server that does not leave is in one of the regions.
+    bool has_server_in(const residency::region_limit& regions) const;
     std::uint32_t in_flight(const std::string& server) const;
     /// Maximum number of connections from this instance to one server: its share of the server's limit.
     std::uint32_t connection_share() const { return m_connection_share; }
@@ -163,6 +170,8 @@
     double mean_service_ms() const;
     double max_expected_ms(const state& s, const selection_request& request, time_point now) const;
     bool has_capacity(const state& s, time_point now) const;
+    /// Whether the server is in one of the regions.
+    bool is_in(const state& s, const residency::region_limit& regions) const;
     /// Whether the server leaves, by the list or by its own word.
     bool leaves(const state& s) const;
     /// Earliest time at which the server may have reported that it leaves.
--- a/src/include/balsampost/entry/entry_metrics.h
+++ b/src/include/balsampost/entry/entry_metrics.h
@@ -24,6 +24,7 @@
     void answered(unsigned status, core::milliseconds elapsed);
     void refused() { m_refused.Increment(); }
     void refused_for_pause() { m_refused_for_pause.Increment(); }
+    void refused_for_regions() { m_refused_for_regions.Increment(); }
     /// Listed servers that leave by their own word, and that have asked for a pause which runs.
     void server_notices(std::size_t leaving, std::size_t paused) {
         m_leaving_servers.Set(static_cast<double>(leaving));
@@ -39,6 +40,7 @@
     void order(bool ok) { (ok ? m_orders_ok : m_orders_failed).Increment(); }
     void manifest_version(std::uint64_t version) { m_manifest.Set(static_cast<double>(version)); }
     void unknown_config_value() { m_unknown_config_values.Increment(); }
+    void unknown_region() { m_unknown_regions.Increment(); }
     void leads(bool does) { m_leads.Set(does ? 1 : 0); }
 
     /// Returns all metrics in the Prometheus text format.
@@ -68,6 +70,8 @@
     prometheus::Gauge& m_leaving_servers;
     prometheus::Gauge& m_paused_servers;
     prometheus::Counter& m_unknown_config_values;
+    prometheus::Counter& m_refused_for_regions;
+    prometheus::Counter& m_unknown_regions;
     prometheus::Histogram& m_latency;
     std::array<prometheus::Counter*, 6> m_attempts{};
 };
--- a/src/include/balsampost/entry/forwarding.h
+++ b/src/include/balsampost/entry/forwarding.h
@@ -89,7 +89,14 @@
     void give_up(const char* reason_if_sent, const char* reason_if_unsent);
     /// Refuses the request if the instance stops too early to finish it. Returns whether it did.
     bool refuse_for_stop();
-    void refuse(const char* reason, core::milliseconds retry_after, double min_jitter = 0.8);
+    /// `retry_after`: empty if it is not known when the request can be served.
+    void refuse(const char* reason, std::optional<core::milliseconds> retry_after, double min_jitter = 0.8);
+    /// Refuses the request since no server in the allowed regions can serve it.
+    void refuse_for_regions(const char* reason);
+    /// Refuses the request if the owner of its key, as the table names it, is outside the allowed regions, or
+    /// if it has no owner and will get none there. Returns whether it did.
+    bool refuse_for_owner_regions(const service_state& service, const core::key_range* range,
+                                  core::time_point at);
     void fail(unsigned status, const char* reason);
     void finish(caller_answer answer);
     std::string request_head(const core::backend& server, core::milliseconds left) const;
@@ -101,6 +108,7 @@
     handler m_done;
     std::shared_ptr<const core::route_index> m_routes; // Keeps m_route valid.
     const core::route* m_route = nullptr;
+    core::residency::region_limit m_allowed_regions; // Of the manifest in force when the request started.
     std::string m_service;
     std::optional<core::shard_key> m_key;
     core::time_point m_deadline{};        // The caller gets an answer by then.
--- a/src/include/balsampost/entry/key_service.h
+++ b/src/include/balsampost/entry/key_service.h
@@ -30,6 +30,9 @@
     void report(const core::key_report& r);
     /// Sets the maximum time that a request to the service may take.
     void set_max_request_time(core::milliseconds max) { m_coordinator.limit_request_time(max); }
+    /// Sets the regions in which owners may be; see `key_coordinator::limit_owner_regions`.
+    void limit_owner_regions(const core::residency::region_limit& limit,
+                             const std::map<std::string, std::string>& regions);
     /// Records that an update of the tenure holder reached this instance.
     void tenure_seen(std::uint64_t tenure_revision);
     /// Address at which the tenure holder takes reports; port 0 if no holder is known.
--- a/src/include/balsampost/entry/traffic_state.h
+++ b/src/include/balsampost/entry/traffic_state.h
@@ -29,6 +29,8 @@
     /// `admitted_fractions_until`.
     std::map<std::string, double> admitted_fractions;
     core::time_point admitted_fractions_until = core::never;
+    /// Regions in which the owners of its keys may be, by the manifest in force.
+    core::residency::region_limit owner_regions{};
 
     double admitted_fraction(const std::string& server, core::time_point at) const {
         const auto found =
--- a/src/include/balsampost/telemetry/events.h
+++ b/src/include/balsampost/telemetry/events.h
@@ -27,6 +27,8 @@
     config_unusable = 201,
     members_changed = 202,
     config_value_unknown = 203,
+    config_region_unknown = 204,
+    owner_regions_changed = 205,
     store_unavailable = 210,
     store_recovered = 211,
     peer_updates_started = 212,
--- a/src/libbalsampost_core/key_coordinator.cpp
+++ b/src/libbalsampost_core/key_coordinator.cpp
@@ -53,11 +53,19 @@
         }
     }
     m_servers = std::move(next);
+    m_placement.set_servers(m_servers);
     std::erase_if(m_unreachable, [this](const auto& u) { return !m_servers.contains(u.first); });
     std::erase_if(m_leaving, [this](const incarnation& which) { return !m_servers.contains(which); });
     end_replaced_servers();
 }
 
+bool key_coordinator::limit_owner_regions(residency::region_limit limit,
+                                          const std::map<std::string, std::string>& regions) {
+    const bool changed = m_placement.set_limit(std::move(limit), regions);
+    m_placement.set_servers(m_servers);
+    return changed;
+}
+
 void key_coordinator::record_latest(const backend& listed) {
     const auto keep_later = [&](incarnation& latest) {
         if (latest.empty() || latest.started_ms < listed.self.started_ms) {
@@ -177,7 +185,7 @@
     }
 }
 
-bool key_coordinator::can_own(const incarnation& which) const {
+bool key_coordinator::is_usable(const incarnation& which) const {
     const auto found = m_servers.find(which);
     const auto contact = m_unreachable.find(which);
     const bool lost = contact != m_unreachable.end() && contact->second.lost;
@@ -324,6 +332,8 @@
         out.emplace_back(read_table{});
         return;
     }
+    m_placement.update(
+        m_servers, [this](const incarnation& which) { return is_usable(which); }, m_effective_table);
     std::vector<key_move> moves;
     bool changed = !m_table_claimed;
     if (m_effective_table.ranges.empty()) {
@@ -378,8 +388,9 @@
 
 std::vector<key_move> key_coordinator::plan(time_point now) {
     // Steps are frequent, so work per server is skipped unless there is something to plan.
-    const bool any_lost = std::any_of(m_effective_table.ranges.begin(), m_effective_table.ranges.end(),
-                                      [this](const key_range& r) { return !can_own(r.owner); });
+    const bool any_lost =
+        std::any_of(m_effective_table.ranges.begin(), m_effective_table.ranges.end(),
+                    [this](const key_range& r) { return !can_own(r.owner) && !m_placement.waits(r); });
     if (!any_lost && m_refence_moves.empty() && now < m_rebalance_at) {
         schedule_step(m_rebalance_at);
         return {};
@@ -389,7 +400,12 @@
     if (any_lost && !servers.empty()) {
         m_rates.advance(now);
         m_refence_moves.clear();
-        return reassign_lost(m_effective_table, servers, m_rates);
+        auto moves = reassign_lost(m_effective_table, servers, m_rates);
+        std::erase_if(moves, [this](const key_move& m) {
+            const auto* range = m_effective_table.find(m.from);
+            return range != nullptr && m_placement.waits(*range);
+        });
+        return moves;
     }
     // Drop requests for new tokens that no longer match the table.
     std::erase_if(m_refence_moves, [this](const key_move& m) {
--- a/src/libbalsampost_core/server_selection.cpp
+++ b/src/libbalsampost_core/server_selection.cpp
@@ -1,6 +1,8 @@
 // Estimates of load and service time, and the selection of a server.
 #include "balsampost/core/server_selection.h"
 
+#include "balsampost/core/residency/manifest_regions.h"
+
 #include <algorithm>
 #include <cmath>
 #include <utility>
@@ -146,6 +148,16 @@
            s.in_flight < m_notices->max_in_flight(s.info.self, s.info.slots, now);
 }
 
+bool server_pool::is_in(const state& s, const residency::region_limit& regions) const {
+    return regions.unlimited() || regions.allows(residency::region_of(m_regions, s.info.failure_domain));
+}
+
+bool server_pool::has_server_in(const residency::region_limit& regions) const {
+    return std::any_of(m_servers.begin(), m_servers.end(), [&](const auto& entry) {
+        return !leaves(entry.second) && is_in(entry.second, regions);
+    });
+}
+
 bool server_pool::leaves(const state& s) const {
     return s.info.draining || m_notices->leaving_since(s.info.self) != never;
 }
@@ -173,12 +185,21 @@
     auto soonest = max_retry_after;
     auto pause_ends = time_point::max(); // Of the servers that could serve but for their pause.
     bool only_paused = true;
+    bool any_outside = request.allowed_regions.exhausted();
+    bool any_inside = false;
     // Jitter keeps instances with equal estimates from all choosing the same server.
     std::uniform_real_distribution<double> jitter(0.95, 1.05);
     for (const auto& [id, s] : m_servers) {
-        if (leaves(s) || now < s.backoff_until ||
-            std::find(request.excluded_servers.begin(), request.excluded_servers.end(), id) !=
-                request.excluded_servers.end()) {
+        if (leaves(s) || std::find(request.excluded_servers.begin(), request.excluded_servers.end(), id) !=
+                             request.excluded_servers.end()) {
+            continue;
+        }
+        if (!is_in(s, request.allowed_regions)) {
+            any_outside = true;
+            continue;
+        }
+        any_inside = true;
+        if (now < s.backoff_until) {
             continue;
         }
         if (m_notices->paused(s.info.self, now)) {
@@ -199,6 +220,9 @@
             best_expected = expected;
         }
     }
+    if (any_outside && !any_inside) {
+        return {"", milliseconds{0}, milliseconds{0}, false, true};
+    }
     if (best == nullptr && only_paused && pause_ends != time_point::max()) {
         return {"", milliseconds{0}, std::chrono::ceil<milliseconds>(pause_ends - now), true};
     }
@@ -211,6 +235,9 @@
 selection server_pool::check(const std::string& server, const selection_request& request,
                              time_point now) const {
     const auto found = m_servers.find(server);
+    if (found != m_servers.end() && !is_in(found->second, request.allowed_regions)) {
+        return {"", milliseconds{0}, milliseconds{0}, false, true};
+    }
     if (found == m_servers.end() || now < found->second.backoff_until ||
         (leaves(found->second) &&
          now >= after(leaving_since(found->second), m_settings.draining_owner_period))) {
--- a/src/libbalsampost_entry/entry.cpp
+++ b/src/libbalsampost_entry/entry.cpp
@@ -2,6 +2,7 @@
 #include "balsampost/entry/entry.h"
 
 #include "balsampost/core/identity.h"
+#include "balsampost/core/residency/manifest_regions.h"
 #include "balsampost/entry/event_loop.h"
 #include "balsampost/telemetry/log.h"
 
@@ -170,6 +171,8 @@
             });
         }
         runner->set_max_request_time(max_route_timeout(*routes, name));
+        runner->limit_owner_regions(core::residency::owner_regions(routes->source(), name),
+                                    m_settings.regions);
         std::vector<const core::backend*> servers;
         for (const auto& [id, b] : m_state.directory().entries()) {
             // An entry with an unknown service may come from another writer and proves nothing.
--- a/src/libbalsampost_entry/entry_metrics.cpp
+++ b/src/libbalsampost_entry/entry_metrics.cpp
@@ -72,6 +72,12 @@
       m_unknown_config_values(counters(*m_registry, "balsampost_config_values_unknown_total",
                                        "Values of routes that are not known; the strictest ones are used")
                                   .Add({})),
+      m_refused_for_regions(counters(*m_registry, "balsampost_refused_for_regions_total",
+                                     "Requests refused because no server in their allowed regions is left")
+                                .Add({})),
+      m_unknown_regions(counters(*m_registry, "balsampost_config_regions_unknown_total",
+                                 "Regions named by routes that no setting knows; they have no servers")
+                            .Add({})),
       m_latency(prometheus::BuildHistogram()
                     .Name("balsampost_answer_seconds")
                     .Help("From the request to the answer")
--- a/src/libbalsampost_entry/entry_store_watches.cpp
+++ b/src/libbalsampost_entry/entry_store_watches.cpp
@@ -2,6 +2,7 @@
 // own.
 #include "balsampost/entry/entry.h"
 
+#include "balsampost/core/residency/manifest_regions.h"
 #include "balsampost/telemetry/log.h"
 
 #include <algorithm>
@@ -152,6 +153,13 @@
                                                      {"field", unknown.field},
                                                      {"value", unknown.value}});
     }
+    for (const auto& unknown : core::residency::unknown_regions(*manifest, m_settings.regions)) {
+        m_metrics.unknown_region();
+        telemetry::log(event::config_region_unknown, {{"version", std::to_string(manifest->version)},
+                                                      {"route", unknown.route},
+                                                      {"field", unknown.field},
+                                                      {"value", unknown.region}});
+    }
     m_state.set_manifest(std::move(*manifest));
     for (const auto& [service, view] : m_service_views) {
         m_state.set_table(service, view.tables.table());
--- a/src/libbalsampost_entry/forwarding.cpp
+++ b/src/libbalsampost_entry/forwarding.cpp
@@ -131,6 +131,7 @@
         return;
     }
     m_target_deadline = m_request.arrived + m_route->target_latency;
+    m_allowed_regions = core::residency::intersection_of({m_route->allowed_regions});
     const auto chosen = m_route->destinations.size() == 1
                             ? 0
                             : m_context.state.traffic_split(m_route->name).next(m_route->destinations);
@@ -167,7 +168,7 @@
         return std::max(std::chrono::duration_cast<core::milliseconds>(until - at), core::milliseconds{0});
     };
     return {left(m_target_deadline), left(m_deadline), m_request.body ? m_request.body->size() : 0,
-            m_tried_servers};
+            m_tried_servers, m_allowed_regions};
 }
 
 void forwarding::try_next_server() {
@@ -190,6 +191,9 @@
     core::selection choice;
     if (m_key) {
         const auto* run = service->table ? service->table->find(*m_key) : nullptr;
+        if (refuse_for_owner_regions(*service, run, at)) {
+            return;
+        }
         if (run == nullptr || run->owner.empty() || run->moving() || run->fence <= m_stale_fence) {
             wait_for_owner(0);
             return;
@@ -215,6 +219,10 @@
     }
     if (choice.server.empty()) {
         m_server = m_key ? service->table->find(*m_key)->owner.id : "";
+        if (choice.outside_regions) {
+            refuse_for_regions("no server in the allowed regions is left");
+            return;
+        }
         if (choice.paused) {
             m_context.metrics.refused_for_pause();
             refuse("the servers asked for a pause", choice.retry_after, min_pause_jitter);
@@ -230,6 +238,36 @@
     send_attempt(choice.server);
 }
 
+bool forwarding::refuse_for_owner_regions(const service_state& service, const core::key_range* range,
+                                          core::time_point at) {
+    if (m_allowed_regions.unlimited() && service.owner_regions.unlimited()) {
+        return false;
+    }
+    const bool named = range != nullptr && !range->owner.empty();
+    m_server = named ? range->owner.id : "";
+    if (named && m_context.state.directory().find(range->owner.id) != nullptr) {
+        if (!service.pool.check(range->owner.id, selection(at), at).outside_regions) {
+            return false;
+        }
+        refuse_for_regions("the owner of the key is outside the allowed regions");
+        return true;
+    }
+    // The keys of a lost owner wait for the owner regions while these have no server.
+    if (service.pool.has_server_in(m_allowed_regions) &&
+        (!named || service.pool.has_server_in(service.owner_regions))) {
+        return false;
+    }
+    refuse_for_regions("no server in the allowed regions is left");
+    return true;
+}
+
+void forwarding::refuse_for_regions(const char* reason) {
+    if (!m_may_have_run) {
+        m_context.metrics.refused_for_regions();
+    }
+    refuse(reason, std::nullopt);
+}
+
 void forwarding::send_attempt(const std::string& server) {
     const auto* found = m_context.state.directory().find(server);
     auto* service = m_context.state.find(m_service);
@@ -502,15 +540,19 @@
     }
 }
 
-void forwarding::refuse(const char* reason, core::milliseconds retry_after, double min_jitter) {
+void forwarding::refuse(const char* reason, std::optional<core::milliseconds> retry_after,
+                        double min_jitter) {
     if (m_may_have_run) {
         fail(status_bad_gateway, reason);
         return;
     }
     // Jitter prevents refused callers from retrying all at once.
     std::uniform_real_distribution<double> jitter(min_jitter, max_jitter);
-    const auto after = core::milliseconds(static_cast<std::int64_t>(static_cast<double>(retry_after.count()) *
-                                                                    jitter(m_context.state.random())));
+    std::optional<core::milliseconds> after;
+    if (retry_after) {
+        after = core::milliseconds(static_cast<std::int64_t>(static_cast<double>(retry_after->count()) *
+                                                             jitter(m_context.state.random())));
+    }
     telemetry::log(event::request_refused, {{"request", std::string(id())},
                                             {"service", m_service},
                                             {"server", m_server},
@@ -518,7 +560,7 @@
                                             {"fence", std::to_string(m_last_fence)},
                                             {"reason", reason},
                                             {"arrivals", std::to_string(m_delivered_attempts)},
-                                            {"retry_after_ms", std::to_string(after.count())}});
+                                            {"retry_after_ms", after ? std::to_string(after->count()) : ""}});
     m_context.metrics.refused();
     caller_answer answer;
     answer.status = status_unavailable;
--- a/src/libbalsampost_entry/key_service.cpp
+++ b/src/libbalsampost_entry/key_service.cpp
@@ -93,6 +93,15 @@
     step();
 }
 
+void key_service::limit_owner_regions(const core::residency::region_limit& limit,
+                                      const std::map<std::string, std::string>& regions) {
+    if (m_coordinator.limit_owner_regions(limit, regions)) {
+        telemetry::log(event::owner_regions_changed,
+                       {{"service", m_service}, {"regions", core::residency::to_string(limit)}});
+        step();
+    }
+}
+
 void key_service::report(const core::key_report& r) {
     m_coordinator.report(r, now());
     for (const auto& id : r.unreachable) {
--- a/src/libbalsampost_entry/traffic_state.cpp
+++ b/src/libbalsampost_entry/traffic_state.cpp
@@ -1,6 +1,7 @@
 // Updates of the routing state and notification of waiting requests.
 #include "balsampost/entry/traffic_state.h"
 
+#include "balsampost/core/residency/manifest_regions.h"
 #include "balsampost/telemetry/log.h"
 
 #include <algorithm>
@@ -51,6 +52,7 @@
                     .first;
         }
         found->second.keyed = service.keyed;
+        found->second.owner_regions = core::residency::owner_regions(m_routes->source(), name);
     }
     update_pools();
     notify();
