--- a/src/include/balsampost/entry/entry_metrics.h
+++ b/src/include/balsampost/entry/entry_metrics.h
@@ -26,6 +26,7 @@
     void refused_for_pause() { m_refused_for_pause.Increment(); }
     void refused_for_evacuation() { m_refused_for_evacuation.Increment(); }
     void evacuated_domains(std::size_t count) { m_evacuated_domains.Set(static_cast<double>(count)); }
+    void refused_for_regions() { m_refused_for_regions.Increment(); }
     /// Listed servers that leave by their own word, and that have asked for a pause which runs.
     void server_notices(std::size_t leaving, std::size_t paused) {
         m_leaving_servers.Set(static_cast<double>(leaving));
@@ -41,6 +42,7 @@
     void order(bool ok) { (ok ? m_orders_ok : m_orders_failed).Increment(); }
     void manifest_version(std::uint64_t version) { m_manifest.Set(static_cast<double>(version)); }
     void unknown_config_value() { m_unknown_config_values.Increment(); }
+    void unknown_region() { m_unknown_regions.Increment(); }
     void leads(bool does) { m_leads.Set(does ? 1 : 0); }
 
     /// Returns all metrics in the Prometheus text format.
@@ -72,6 +74,8 @@
     prometheus::Counter& m_refused_for_evacuation;
     prometheus::Gauge& m_evacuated_domains;
     prometheus::Counter& m_unknown_config_values;
+    prometheus::Counter& m_refused_for_regions;
+    prometheus::Counter& m_unknown_regions;
     prometheus::Histogram& m_latency;
     std::array<prometheus::Counter*, 6> m_attempts{};
 };
--- a/src/libbalsampost_core/server_selection.cpp
+++ b/src/libbalsampost_core/server_selection.cpp
@@ -1,6 +1,8 @@
 // Estimates of load and service time, and the selection of a server.
 #include "balsampost/core/server_selection.h"
 
+#include "balsampost/core/residency/manifest_regions.h"
+
 #include <algorithm>
 #include <cmath>
 #include <utility>
@@ -30,6 +32,13 @@
 
 /// The refusal of a request whose servers are all evacuated. `returns`: when one may be used again, if that
 /// is known.
+/// When a server in the allowed regions will be available is not known.
+selection outside_regions() {
+    selection out;
+    out.outside_regions = true;
+    return out;
+}
+
 selection evacuated_selection(time_point returns, time_point now) {
     selection out;
     out.retry_after = returns > now && returns != time_point::max()
@@ -158,6 +167,16 @@
            s.in_flight < m_evacuations->max_in_flight(s.info.failure_domain, s.info.slots, now);
 }
 
+bool server_pool::is_in(const state& s, const residency::region_limit& regions) const {
+    return regions.unlimited() || regions.allows(residency::region_of(m_regions, s.info.failure_domain));
+}
+
+bool server_pool::has_server_in(const residency::region_limit& regions) const {
+    return std::any_of(m_servers.begin(), m_servers.end(), [&](const auto& entry) {
+        return !leaves(entry.second) && is_in(entry.second, regions);
+    });
+}
+
 bool server_pool::leaves(const state& s) const {
     return s.info.draining || m_notices->leaving_since(s.info.self) != never;
 }
@@ -196,21 +215,33 @@
     auto soonest = max_retry_after;
     auto pause_ends = time_point::max(); // Of the servers that could serve but for their pause.
     bool only_paused = true;
+    bool any_outside = request.allowed_regions.exhausted();
+    bool any_inside = false;
     bool only_evacuated = true;       // No server that stays is outside the evacuated failure domains.
     auto returns = time_point::max(); // First end of an evacuation that is known.
     bool any_evacuated = false;
     // Jitter keeps instances with equal estimates from all choosing the same server.
     std::uniform_real_distribution<double> jitter(0.95, 1.05);
     for (const auto& [id, s] : m_servers) {
-        if (!leaves(s) && !m_evacuations->may_receive(s.info.failure_domain, false, now)) {
-            any_evacuated = true;
+        if (leaves(s)) {
+            continue;
+        }
+        if (!is_in(s, request.allowed_regions)) {
+            any_outside = true;
+            continue;
+        }
+        if (!m_evacuations->may_receive(s.info.failure_domain, false, now)) {
+            any_inside = any_evacuated = true;
             returns = std::min(returns, m_evacuations->returns_at(s.info.failure_domain));
             continue;
         }
-        only_evacuated = only_evacuated && leaves(s);
-        if (leaves(s) || now < s.backoff_until ||
-            std::find(request.excluded_servers.begin(), request.excluded_servers.end(), id) !=
-                request.excluded_servers.end()) {
+        only_evacuated = false;
+        if (std::find(request.excluded_servers.begin(), request.excluded_servers.end(), id) !=
+            request.excluded_servers.end()) {
+            continue;
+        }
+        any_inside = true;
+        if (now < s.backoff_until) {
             continue;
         }
         if (m_notices->paused(s.info.self, now)) {
@@ -231,6 +262,9 @@
             best_expected = expected;
         }
     }
+    if (any_outside && !any_inside) {
+        return outside_regions();
+    }
     if (any_evacuated && only_evacuated) {
         return evacuated_selection(returns, now);
     }
@@ -246,6 +280,9 @@
 selection server_pool::check(const std::string& server, const selection_request& request,
                              time_point now) const {
     const auto found = m_servers.find(server);
+    if (found != m_servers.end() && !is_in(found->second, request.allowed_regions)) {
+        return outside_regions();
+    }
     if (found == m_servers.end() || now < found->second.backoff_until ||
         owner_period_ended(found->second, now)) {
         return {"", milliseconds{0}, min_retry_after};
