core: shares of the rate of cold servers, selection and planning by them

Cause: a cold server crashes if all instances together send it more than it bears, and instances that cannot reach each other cannot count together. Change: core::warmup. share_ledger hands out shares that expire and never more than the limit at any time; share_distributor is one instance's part as publisher, relay or holder; cold_servers knows which servers are cold and spaces the requests of a share. server_pool::choose and check send a cold server requests by share only; after the warm-up, instances return spread over a second with one request in flight at first. The planner gives cold servers no keys while there is a warm one. backend_directory notes when a server was first listed. Without warmup_per_s no server counts as cold.

--- a/src/include/balsampost/core/backend_directory.h
+++ b/src/include/balsampost/core/backend_directory.h
@@ -36,11 +36,17 @@
     bool draining = false;
     /// Warm-up time remaining at `read_at`.
     milliseconds warmup_left{0};
+    /// Whether the entry states `warmup_left`.
+    bool warmup_stated = true;
     /// When an entry with this content was first read; set by `backend_directory`.
     time_point read_at{};
     /// Earliest time at which the server may have reported that it is leaving, if `draining`; set by
     /// `backend_directory`.
     time_point draining_since = never;
+    /// When this incarnation was first listed; set by `backend_directory`.
+    time_point listed_at{};
+    /// This incarnation was in the first list that was read; set by `backend_directory`.
+    bool in_first_list = false;
 
     time_point warmup_end() const { return read_at + warmup_left; }
 };
@@ -84,6 +90,7 @@
     std::map<std::string, time_point> m_missing; // Expiry times of missing entries, by id.
     time_point m_grace_end = never;
     std::uint64_t m_version = 0;
+    bool m_first_list = true; // No complete list has been read yet.
 };
 
 } // namespace balsampost::core
--- a/src/include/balsampost/core/key_coordinator.h
+++ b/src/include/balsampost/core/key_coordinator.h
@@ -181,6 +181,9 @@
     /// Replaces the list of servers. It holds the servers of all services of the manifest: those of other
     /// services own no keys, but show that an earlier server at their address has ended.
     void update_servers(const std::vector<const backend*>& listed, time_point now);
+    /// Sets the cold servers and when they will be warm. Until then they get no keys while there is a warm
+    /// one; an owner that turns cold keeps its keys.
+    void set_cold_servers(std::map<incarnation, time_point> cold) { m_cold_until = std::move(cold); }
     /// The server refused a connection from this instance. Its keys are planned for other servers at once and
     /// granted to them when its grants have expired.
     void server_refused(const incarnation& which, time_point now) { mark_lost(which, now); }
@@ -305,7 +308,7 @@
     std::vector<key_move> plan_initial(time_point now);
     std::vector<key_move> plan(time_point now);
     /// Servers that can own keys, with their capacity.
-    std::vector<key_server> owners() const;
+    std::vector<key_server> owners(time_point now) const;
     /// Whether the server is listed, neither leaving by the list nor by its own word, not ended and not
     /// marked lost.
     bool can_own(const incarnation& which) const;
@@ -371,6 +374,7 @@
     std::map<incarnation, unreachable_server> m_unreachable;
     /// Listed servers that say in their answers that they leave, as instances report.
     std::set<incarnation> m_leaving;
+    std::map<incarnation, time_point> m_cold_until;
     service_time_estimates m_service_times;
     time_point m_last_server_added = never;
 
--- a/src/include/balsampost/core/key_plan.h
+++ b/src/include/balsampost/core/key_plan.h
@@ -17,6 +17,7 @@
     incarnation identity;
     double capacity = 1;   ///< Requests per second: slots divided by the time of one request.
     bool reachable = true; ///< Unless reachable, the server keeps its keys but gets no others.
+    bool cold = false;     ///< As if not reachable. Not set if there is no warm server.
 };
 
 struct plan_settings {
@@ -62,11 +63,12 @@
 load_summary summarize(const key_table& table, const std::vector<key_server>& servers,
                        const key_rates& rates);
 
-/// Initial assignment: one range per server, sized by capacity.
+/// Initial assignment: one range per server that is not cold, sized by capacity.
 std::vector<key_move> initial_owners(const std::vector<key_server>& servers);
 
 /// Moves the ranges of owners that are not in `servers` to the least loaded servers. A restarted server gets
-/// back the ranges of its predecessor. Ranges for which no reachable server exists stay where they are.
+/// back the ranges of its predecessor, unless it is cold. Ranges for which no reachable server exists stay
+/// where they are.
 std::vector<key_move> reassign_lost(const key_table& table, const std::vector<key_server>& servers,
                                     const key_rates& rates);
 
--- a/src/include/balsampost/core/server_selection.h
+++ b/src/include/balsampost/core/server_selection.h
@@ -6,6 +6,7 @@
 #include "balsampost/core/backend_directory.h"
 #include "balsampost/core/manifest.h"
 #include "balsampost/core/server_notices.h"
+#include "balsampost/core/warmup/cold_servers.h"
 
 #include <map>
 #include <memory>
@@ -88,22 +89,28 @@
     milliseconds retry_after{0};
     /// There is no server because those that could serve asked for a pause; it ends after `retry_after`.
     bool paused = false;
+    /// There is no server because those that could serve are cold and this instance has no share of their
+    /// rate, or none left; one can be sent a request after `retry_after`.
+    bool cold = false;
 };
 
 /// The servers of one service and this instance's estimates of them. Not thread-safe.
 class server_pool {
 public:
-    /// `notices`: what servers say of themselves; shared by all pools of an instance.
+    /// `notices`: what servers say of themselves; `cold`: which servers are cold. Both are shared by all
+    /// pools of an instance.
     server_pool(selection_settings settings, std::string failure_domain,
                 std::map<std::string, std::string> regions,
-                std::shared_ptr<const server_notices> notices = std::make_shared<const server_notices>());
+                std::shared_ptr<const server_notices> notices = std::make_shared<const server_notices>(),
+                std::shared_ptr<warmup::cold_servers> cold = std::make_shared<warmup::cold_servers>());
 
     /// Replaces the list of servers. Estimates are kept for incarnations that remain in it.
     /// `max_connections`: connections that one server accepts from all `instances` together.
     void update(const std::vector<const backend*>& servers, std::uint32_t max_connections,
                 std::uint32_t instances);
 
-    /// Chooses among all servers that neither leave nor pause and that are not backed off from.
+    /// Chooses among all servers that neither leave nor pause and that are not backed off from. A cold one
+    /// needs a share with a request left, which `attempt_started` takes.
     selection choose(const selection_request& request, time_point now, std::mt19937_64& random) const;
     /// Selects `server`, the owner of the request's key, if it is expected to finish in time.
     selection check(const std::string& server, const selection_request& request, time_point now) const;
@@ -173,6 +180,7 @@
     std::string m_failure_domain;
     std::map<std::string, std::string> m_regions; // Region by failure domain.
     std::shared_ptr<const server_notices> m_notices;
+    std::shared_ptr<warmup::cold_servers> m_cold;
     std::map<std::string, state> m_servers; // By id.
     std::uint32_t m_connection_share = 8;
     mutable double m_mean_service_ms = 0; // Cached; 0: must be recomputed.
--- a/src/libbalsampost_core/backend_directory.cpp
+++ b/src/libbalsampost_core/backend_directory.cpp
@@ -2,6 +2,7 @@
 #include "balsampost/core/backend_directory.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace balsampost::core {
 
@@ -20,7 +21,9 @@
     for (const auto& id : removed) {
         remove(id, now);
     }
+    const bool first = std::exchange(m_first_list, false);
     for (auto& [id, e] : next) {
+        e.in_first_list = first;
         put(std::move(e), now, not_before);
     }
 }
@@ -30,10 +33,13 @@
     // The warm-up time counts from the first read of unchanged content.
     const bool unchanged = known != m_entries.end() && known->second.self == entry.self &&
                            known->second.draining == entry.draining &&
-                           known->second.warmup_left == entry.warmup_left;
+                           known->second.warmup_left == entry.warmup_left &&
+                           known->second.warmup_stated == entry.warmup_stated;
     entry.read_at = unchanged ? known->second.read_at : now;
-    const bool was_draining =
-        known != m_entries.end() && known->second.self == entry.self && known->second.draining;
+    const bool same = known != m_entries.end() && known->second.self == entry.self;
+    entry.listed_at = same ? known->second.listed_at : now;
+    entry.in_first_list = same ? known->second.in_first_list : entry.in_first_list;
+    const bool was_draining = same && known->second.draining;
     entry.draining_since = !entry.draining ? never : was_draining ? known->second.draining_since : not_before;
     m_missing.erase(entry.self.id);
     auto id = entry.self.id;
--- a/src/libbalsampost_core/key_coordinator.cpp
+++ b/src/libbalsampost_core/key_coordinator.cpp
@@ -185,7 +185,7 @@
            !ended(which) && !lost;
 }
 
-std::vector<key_server> key_coordinator::owners() const {
+std::vector<key_server> key_coordinator::owners(time_point now) const {
     std::vector<key_server> out;
     for (const auto& [id, b] : m_servers) {
         if (!can_own(id)) {
@@ -193,7 +193,14 @@
         }
         const double ms = m_service_times.service_ms(id.id, default_service_ms);
         const auto slots = std::max<std::uint32_t>(b.slots, 1);
-        out.push_back({id, slots * 1000.0 / ms, !m_unreachable.contains(id)});
+        const auto cold = m_cold_until.find(id);
+        out.push_back({id, slots * 1000.0 / ms, !m_unreachable.contains(id),
+                       cold != m_cold_until.end() && now < cold->second});
+    }
+    if (std::none_of(out.begin(), out.end(), [](const auto& s) { return s.reachable && !s.cold; })) {
+        for (auto& s : out) {
+            s.cold = false;
+        }
     }
     return out;
 }
@@ -361,7 +368,7 @@
     m_pending_table = std::move(draft);
     m_table_call_pending = true;
     out.emplace_back(write_table{m_pending_table, m_table_revision, planned,
-                                 summarize(m_effective_table, owners(), m_rates)});
+                                 summarize(m_effective_table, owners(now), m_rates)});
 }
 
 std::vector<key_move> key_coordinator::plan_initial(time_point now) {
@@ -373,7 +380,7 @@
         schedule_step(settled);
         return {};
     }
-    return initial_owners(owners());
+    return initial_owners(owners(now));
 }
 
 std::vector<key_move> key_coordinator::plan(time_point now) {
@@ -384,7 +391,7 @@
         schedule_step(m_rebalance_at);
         return {};
     }
-    const auto servers = owners();
+    const auto servers = owners(now);
     // Ranges of lost servers come first; nothing else is planned in the same batch.
     if (any_lost && !servers.empty()) {
         m_rates.advance(now);
--- a/src/libbalsampost_core/key_plan.cpp
+++ b/src/libbalsampost_core/key_plan.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 #include <map>
 #include <utility>
 
@@ -48,7 +49,7 @@
 server_load* least_loaded_after_taking(load_map& loads, double load, const incarnation& except) {
     server_load* best = nullptr;
     for (auto& [id, s] : loads) {
-        if (id != except && s.server->reachable &&
+        if (id != except && s.server->reachable && !s.server->cold &&
             (best == nullptr ||
              (s.load + load) / s.server->capacity < (best->load + load) / best->server->capacity)) {
             best = &s;
@@ -138,7 +139,10 @@
     return out;
 }
 
-std::vector<key_move> initial_owners(const std::vector<key_server>& servers) {
+std::vector<key_move> initial_owners(const std::vector<key_server>& all) {
+    std::vector<key_server> servers;
+    std::copy_if(all.begin(), all.end(), std::back_inserter(servers),
+                 [](const key_server& s) { return !s.cold; });
     std::vector<key_move> moves;
     double total = 0;
     for (const auto& s : servers) {
@@ -173,7 +177,7 @@
         // The ranges of an ended server go to the server that started under the same id, since grants meant
         // for the former may have reached the latter.
         const auto restarted = std::find_if(servers.begin(), servers.end(), [&](const key_server& s) {
-            return !range.owner.empty() && s.identity.id == range.owner.id;
+            return !range.owner.empty() && s.identity.id == range.owner.id && !s.cold;
         });
         if (restarted != servers.end()) {
             loads[restarted->identity].load += estimated_load(rates, range.from, range.to);
@@ -209,7 +213,8 @@
         static_cast<double>(key_count) / static_cast<double>(std::max<std::size_t>(servers.size(), 1));
     std::map<shard_key, bool> split_ranges; // Ranges already used as a source, by first key.
     for (auto& [id, new_server] : loads) {
-        if (!new_server.server->reachable || new_server.keys >= settings.underfilled_share * fair_key_count ||
+        if (!new_server.server->reachable || new_server.server->cold ||
+            new_server.keys >= settings.underfilled_share * fair_key_count ||
             new_server.load >= settings.underfilled_share * mean * new_server.server->capacity) {
             continue;
         }
--- a/src/libbalsampost_core/server_selection.cpp
+++ b/src/libbalsampost_core/server_selection.cpp
@@ -37,9 +37,10 @@
 
 server_pool::server_pool(selection_settings settings, std::string failure_domain,
                          std::map<std::string, std::string> regions,
-                         std::shared_ptr<const server_notices> notices)
+                         std::shared_ptr<const server_notices> notices,
+                         std::shared_ptr<warmup::cold_servers> cold)
     : m_settings(settings), m_failure_domain(std::move(failure_domain)), m_regions(std::move(regions)),
-      m_notices(std::move(notices)) {}
+      m_notices(std::move(notices)), m_cold(std::move(cold)) {}
 
 void server_pool::update(const std::vector<const backend*>& servers, std::uint32_t max_connections,
                          std::uint32_t instances) {
@@ -143,7 +144,8 @@
     const double slots = std::max<std::uint32_t>(s.info.slots, 1);
     return estimated_load(s, now) + 1 <= slots * m_settings.max_load_per_slot &&
            s.in_flight < m_connection_share &&
-           s.in_flight < m_notices->max_in_flight(s.info.self, s.info.slots, now);
+           s.in_flight < m_notices->max_in_flight(s.info.self, s.info.slots, now) &&
+           s.in_flight < m_cold->max_in_flight(s.info.self, s.info.slots, now);
 }
 
 bool server_pool::leaves(const state& s) const {
@@ -173,6 +175,8 @@
     auto soonest = max_retry_after;
     auto pause_ends = time_point::max(); // Of the servers that could serve but for their pause.
     bool only_paused = true;
+    auto cold_until = time_point::max(); // Earliest request to a server that could serve but for its warm-up.
+    bool only_cold = true;
     // Jitter keeps instances with equal estimates from all choosing the same server.
     std::uniform_real_distribution<double> jitter(0.95, 1.05);
     for (const auto& [id, s] : m_servers) {
@@ -186,6 +190,11 @@
             continue;
         }
         only_paused = false;
+        if (!m_cold->may_send(s.info.self, now)) {
+            cold_until = std::min(cold_until, m_cold->next_request_at(s.info.self, now));
+            continue;
+        }
+        only_cold = false;
         const double expected = expected_ms(s, now, true);
         const double max_expected = max_expected_ms(s, request, now);
         if (!has_capacity(s, now) || expected > max_expected) {
@@ -202,6 +211,9 @@
     if (best == nullptr && only_paused && pause_ends != time_point::max()) {
         return {"", milliseconds{0}, std::chrono::ceil<milliseconds>(pause_ends - now), true};
     }
+    if (best == nullptr && only_cold && cold_until != time_point::max()) {
+        return {"", milliseconds{0}, std::chrono::ceil<milliseconds>(cold_until - now), false, true};
+    }
     if (best == nullptr) {
         return {"", milliseconds{0}, soonest};
     }
@@ -221,6 +233,10 @@
         return {"", milliseconds{0},
                 std::chrono::ceil<milliseconds>(m_notices->resumes_at(s.info.self) - now), true};
     }
+    if (!m_cold->may_send(s.info.self, now)) {
+        const auto next = m_cold->next_request_at(s.info.self, now);
+        return {"", milliseconds{0}, std::chrono::ceil<milliseconds>(next - now), false, true};
+    }
     const double expected = expected_ms(s, now, false);
     const double max_expected = max_expected_ms(s, request, now);
     if (!has_capacity(s, now) || expected > max_expected) {
@@ -229,10 +245,11 @@
     return {server, milliseconds{static_cast<std::int64_t>(expected)}, milliseconds{0}};
 }
 
-void server_pool::attempt_started(const std::string& server, time_point) {
+void server_pool::attempt_started(const std::string& server, time_point now) {
     const auto found = m_servers.find(server);
     if (found != m_servers.end()) {
         ++found->second.in_flight;
+        m_cold->sent(found->second.info.self, now);
     }
 }
 
