entry: shares of cold servers travel in updates; the publisher hands them out

Cause: the core's shares had no way to the instances. Change: a report says when it was sent, and the update that answers it, or a later one, carries the receiver's shares with that time (new fields at the end of both messages). The coordinator of the first keyed service publishes them; a relay divides its own share among its members. A request whose server is cold and for which this instance has no share left is refused at once with the time until it can be sent.

--- a/src/include/balsampost/entry/entry.h
+++ b/src/include/balsampost/entry/entry.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "balsampost/core/relay_plan.h"
+#include "balsampost/core/warmup/share_distributor.h"
 #include "balsampost/entry/caller_listener.h"
 #include "balsampost/entry/descriptor_room.h"
 #include "balsampost/entry/entry_metrics.h"
@@ -85,6 +86,13 @@
     std::uint32_t subtree_size(const std::string& service) const;
     void apply_limits(const std::string& service,
                       const std::vector<std::pair<std::string, std::uint32_t>>& admit_permille);
+    /// Sets this instance's role in handing out shares of cold servers, and what may be handed out.
+    void update_shares();
+    /// Hands `update_shares` the cold servers as limits, and logs which began and ended to be cold.
+    std::vector<core::warmup::share_limit> share_limits();
+    void shares_received(const peer_shares& received);
+    /// Servers to which no keys are assigned, and until when.
+    std::map<core::incarnation, core::time_point> cold_servers_of(const std::string& service) const;
     void wait_for_signal();
     void begin_stop();
     /// Closes idle connections; at the end of the work, answers what is left.
@@ -135,7 +143,11 @@
         /// Relay to which it was asked to report; port 0 if it is to report here.
         core::endpoint relay;
         core::report_credit credit;
+        /// `peer_report::sent_ns` of its last report.
+        std::int64_t sent_ns = 0;
     };
+    /// Shares for `receiver`, if updates of `service` carry them.
+    peer_shares shares_for(const std::string& service, const reporter& receiver);
     /// State of a keyed service on this instance, and its position in the update tree.
     struct service_view {
         table_history tables;
@@ -168,6 +180,10 @@
     };
     /// By service name.
     std::map<std::string, service_view> m_service_views;
+    /// Empty until the listeners are bound: until then an earlier process of this instance may run.
+    std::optional<core::warmup::share_distributor> m_shares;
+    /// Cold servers as the publisher knows them, with their services.
+    std::map<core::incarnation, std::string> m_published_cold;
     std::uint64_t m_manifest_version = 0;
     bool m_expiry_armed = false;
     bool m_stopping = false;
--- a/src/include/balsampost/entry/entry_metrics.h
+++ b/src/include/balsampost/entry/entry_metrics.h
@@ -24,6 +24,8 @@
     void answered(unsigned status, core::milliseconds elapsed);
     void refused() { m_refused.Increment(); }
     void refused_for_pause() { m_refused_for_pause.Increment(); }
+    void refused_for_share() { m_refused_for_share.Increment(); }
+    void cold_servers(std::size_t count) { m_cold_servers.Set(static_cast<double>(count)); }
     /// Listed servers that leave by their own word, and that have asked for a pause which runs.
     void server_notices(std::size_t leaving, std::size_t paused) {
         m_leaving_servers.Set(static_cast<double>(leaving));
@@ -68,6 +70,8 @@
     prometheus::Gauge& m_leaving_servers;
     prometheus::Gauge& m_paused_servers;
     prometheus::Counter& m_unknown_config_values;
+    prometheus::Counter& m_refused_for_share;
+    prometheus::Gauge& m_cold_servers;
     prometheus::Histogram& m_latency;
     std::array<prometheus::Counter*, 6> m_attempts{};
 };
--- a/src/include/balsampost/entry/key_service.h
+++ b/src/include/balsampost/entry/key_service.h
@@ -54,6 +54,10 @@
     /// stays active, since no other instance could take the tenure.
     void resign(std::function<void()> on_resigned);
     void holder_resigned();
+    std::uint64_t term() const { return m_coordinator.term(); }
+    void set_cold_servers(std::map<core::incarnation, core::time_point> cold) {
+        m_coordinator.set_cold_servers(std::move(cold));
+    }
     bool leads() const { return m_coordinator.leads(now()); }
 
 private:
--- a/src/include/balsampost/entry/peer_exchange.h
+++ b/src/include/balsampost/entry/peer_exchange.h
@@ -42,8 +42,23 @@
     std::uint32_t members = 0;
     /// The sender has recently lost its relay.
     bool lost_relay = false;
+    /// When the report was sent, in nanoseconds of the sender's monotonic clock; 0: not stated. The shares in
+    /// the answer refer to it.
+    std::int64_t sent_ns = 0;
 
-    MSGPACK_DEFINE(instance, keys, table, revisions, failure_domain, capacity_shortage, members, lost_relay);
+    MSGPACK_DEFINE(instance, keys, table, revisions, failure_domain, capacity_shortage, members, lost_relay,
+                   sent_ns);
+};
+
+/// The receiver's shares of the rates of cold servers; see `core/warmup/share_ledger.h`.
+struct peer_shares {
+    /// Name of the receiver, and `sent_ns` of the report from which it counts the shares' lifetimes.
+    std::string instance;
+    std::int64_t sent_ns = 0;
+    /// Server id and start, units, spacing and lifetime in milliseconds.
+    std::vector<std::tuple<std::string, std::int64_t, std::uint32_t, std::uint32_t, std::uint32_t>> shares;
+
+    MSGPACK_DEFINE(instance, sent_ns, shares);
 };
 
 struct peer_update {
@@ -71,9 +86,10 @@
     std::vector<std::pair<std::string, std::uint32_t>> admit_permille;
     /// The sender's data from the store, for instances that do not watch it.
     std::vector<feed_segment> feed;
+    peer_shares shares;
 
     MSGPACK_DEFINE(service, tenure_revision, resigned, instances, relay, coordinator_at, coordinator_age_ms,
-                   version, base, table, admit_permille, feed);
+                   version, base, table, admit_permille, feed, shares);
 };
 
 /// Encodes a key table without the servers' addresses, small enough for one datagram. Its key ranges need not
--- a/src/include/balsampost/entry/traffic_state.h
+++ b/src/include/balsampost/entry/traffic_state.h
@@ -54,6 +54,8 @@
     void note(const std::string& service, const core::incarnation& server, const core::server_notice& notice,
               core::time_point now, const char* source);
     const core::server_notices& notices() const { return *m_notices; }
+    core::warmup::cold_servers& cold() { return *m_cold; }
+    const core::warmup::cold_servers& cold() const { return *m_cold; }
     /// Records that the server refused a connection.
     void note_unreachable(const std::string& service, const std::string& server);
     service_state* find(const std::string& service);
@@ -71,6 +73,7 @@
 
     const settings& m_settings;
     std::shared_ptr<core::server_notices> m_notices = std::make_shared<core::server_notices>();
+    std::shared_ptr<core::warmup::cold_servers> m_cold;
     core::backend_directory m_directory;
     std::shared_ptr<const core::route_index> m_routes; // Null until the first manifest is received.
     std::map<std::string, service_state> m_services;
--- a/src/libbalsampost_entry/entry.cpp
+++ b/src/libbalsampost_entry/entry.cpp
@@ -177,6 +177,7 @@
                 servers.push_back(&b);
             }
         }
+        runner->set_cold_servers(cold_servers_of(name));
         runner->update_servers(servers);
     }
 }
--- a/src/libbalsampost_entry/entry_metrics.cpp
+++ b/src/libbalsampost_entry/entry_metrics.cpp
@@ -72,6 +72,12 @@
       m_unknown_config_values(counters(*m_registry, "balsampost_config_values_unknown_total",
                                        "Values of routes that are not known; the strictest ones are used")
                                   .Add({})),
+      m_refused_for_share(counters(*m_registry, "balsampost_refused_for_share_total",
+                                   "Requests refused because the servers for them are cold and this "
+                                   "instance has no share of their rate left")
+                              .Add({})),
+      m_cold_servers(gauge(*m_registry, "balsampost_servers_cold",
+                           "Listed servers that are warming up and have a limited rate")),
       m_latency(prometheus::BuildHistogram()
                     .Name("balsampost_answer_seconds")
                     .Help("From the request to the answer")
--- a/src/libbalsampost_entry/entry_start.cpp
+++ b/src/libbalsampost_entry/entry_start.cpp
@@ -60,6 +60,8 @@
 void entry::serve() {
     m_serving = true;
     telemetry::log(event::started, {{"id", m_incarnation_id}});
+    m_shares.emplace(core::warmup::candidate{m_settings.instance.name, m_settings.instance.failure_domain, 0},
+                     m_state.cold(), now());
     start_watches();
     report_loads();
 }
--- a/src/libbalsampost_entry/entry_store_watches.cpp
+++ b/src/libbalsampost_entry/entry_store_watches.cpp
@@ -108,6 +108,7 @@
     publish_feed();
     m_state.directory_changed();
     update_key_services();
+    update_shares();
     arm_directory_expiry();
 }
 
--- a/src/libbalsampost_entry/entry_updates.cpp
+++ b/src/libbalsampost_entry/entry_updates.cpp
@@ -209,6 +209,7 @@
     out.capacity_shortage = m_settings.resources.capacity_shortage();
     out.members = subtree_size(service) - 1;
     out.lost_relay = now() < view.relay_avoided_until;
+    out.sent_ns = now().time_since_epoch().count();
     return out;
 }
 
@@ -231,6 +232,7 @@
     }
     auto interval = report_interval;
     contained("roles of the watches", [&] { update_watch_roles(); });
+    contained("shares of cold servers", [&] { update_shares(); });
     for (auto& [name, runner] : m_key_services) {
         contained("report of the load", [&] { report_load(name, *runner); });
         const auto& view = m_service_views[name];
@@ -261,6 +263,7 @@
     sender.last_report_at = now();
     sender.table = report.table;
     sender.revisions = report.revisions;
+    sender.sent_ns = report.sent_ns;
     sender.position = {report.instance, report.failure_domain, report.capacity_shortage, report.members,
                        report.lost_relay};
     if (!sender.credit.accept(report.keys, now())) {
@@ -278,6 +281,7 @@
     }
     auto update = update_for(service, report.table, report.revisions);
     update.relay = sender.relay.port != 0 ? core::to_string(sender.relay) : "";
+    update.shares = shares_for(service, sender);
     m_peers.send(from, update);
 }
 
@@ -352,6 +356,7 @@
                     .first;
         }
         found->second.relay = r.relay.port != 0 ? core::to_string(r.relay) : "";
+        found->second.shares = shares_for(service, r);
         m_peers.send(r.address, found->second);
     }
 }
@@ -369,6 +374,7 @@
     if (apply_feed(update.feed)) {
         request_update(update.service);
     }
+    shares_received(update.shares);
     const bool from_relay = !update.coordinator_at.empty();
     if (from_relay && from == view.relay) {
         view.relay_updated_at = now();
--- a/src/libbalsampost_entry/forwarding.cpp
+++ b/src/libbalsampost_entry/forwarding.cpp
@@ -220,6 +220,12 @@
             refuse("the servers asked for a pause", choice.retry_after, min_pause_jitter);
             return;
         }
+        if (choice.cold) {
+            m_context.metrics.refused_for_share();
+            refuse("the servers are warming up and this instance may send them nothing now",
+                   choice.retry_after, min_pause_jitter);
+            return;
+        }
         refuse("no server can finish before the deadline", choice.retry_after);
         return;
     }
--- a/src/libbalsampost_entry/traffic_state.cpp
+++ b/src/libbalsampost_entry/traffic_state.cpp
@@ -1,6 +1,7 @@
 // Updates of the routing state and notification of waiting requests.
 #include "balsampost/entry/traffic_state.h"
 
+#include "balsampost/net/asio.h"
 #include "balsampost/telemetry/log.h"
 
 #include <algorithm>
@@ -24,7 +25,9 @@
 
 } // namespace
 
-traffic_state::traffic_state(const settings& s) : m_settings(s), m_instances(assumed_instances) {}
+traffic_state::traffic_state(const settings& s)
+    : m_settings(s), m_cold(std::make_shared<core::warmup::cold_servers>(s.instance.name)),
+      m_instances(assumed_instances) {}
 
 void traffic_state::set_manifest(core::manifest m) {
     m_routes = std::make_shared<const core::route_index>(std::move(m));
@@ -40,7 +43,7 @@
                 m_services
                     .emplace(name, service_state{core::server_pool(selection_settings_of(m_settings.bounds),
                                                                    m_settings.instance.failure_domain,
-                                                                   m_settings.regions, m_notices),
+                                                                   m_settings.regions, m_notices, m_cold),
                                                  core::repeat_budget(limits),
                                                  {},
                                                  {},
@@ -79,6 +82,7 @@
     if (!m_routes) {
         return;
     }
+    m_cold->update(m_directory.entries(), m_routes->source().services, net::now());
     for (auto& [name, s] : m_services) {
         std::vector<const core::backend*> servers;
         for (const auto& [id, b] : m_directory.entries()) {
