--- a/src/include/balsampost/core/key_coordinator.h
+++ b/src/include/balsampost/core/key_coordinator.h
@@ -189,6 +189,9 @@
     void update_evacuations(std::set<std::string> domains, time_point now);
     /// Whether a server in `domain` may still hold keys, by the table in effect.
     bool has_keys_in(const std::string& domain) const;
+    /// Sets the cold servers and when they will be warm. Until then they get no keys while there is a warm
+    /// one; an owner that turns cold keeps its keys.
+    void set_cold_servers(std::map<incarnation, time_point> cold) { m_cold_until = std::move(cold); }
     /// The server refused a connection from this instance. Its keys are planned for other servers at once and
     /// granted to them when its grants have expired.
     void server_refused(const incarnation& which, time_point now) { mark_lost(which, now); }
@@ -329,7 +332,7 @@
     std::vector<key_move> plan_lost(const std::vector<key_server>& servers, time_point now) const;
     bool evacuated(const incarnation& which) const;
     /// Servers that can own keys, with their capacity.
-    std::vector<key_server> owners() const;
+    std::vector<key_server> owners(time_point now) const;
     /// Whether the server is listed, neither leaving by the list nor by its own word, not ended, not marked
     /// lost and not in an evacuated failure domain.
     bool is_usable(const incarnation& which) const;
@@ -400,6 +403,7 @@
     std::set<std::string> m_evacuated_domains;
     time_point m_evacuated_since = never; // When the latest of them was added.
     residency::owner_placement m_placement; // Updated before each plan.
+    std::map<incarnation, time_point> m_cold_until;
     service_time_estimates m_service_times;
     time_point m_last_server_added = never;
 
--- a/src/include/balsampost/core/server_selection.h
+++ b/src/include/balsampost/core/server_selection.h
@@ -8,6 +8,7 @@
 #include "balsampost/core/manifest.h"
 #include "balsampost/core/residency/region_limit.h"
 #include "balsampost/core/server_notices.h"
+#include "balsampost/core/warmup/cold_servers.h"
 
 #include <map>
 #include <memory>
@@ -96,15 +97,20 @@
     bool evacuated = false;
     /// There is no server because of the allowed regions; when one will be available is not known.
     bool outside_regions = false;
+    /// There is no server because those that could serve are cold and this instance has no share of their
+    /// rate, or none left; one can be sent a request after `retry_after`.
+    bool cold = false;
 };
 
 /// The servers of one service and this instance's estimates of them. Not thread-safe.
 class server_pool {
 public:
-    /// `notices`: what servers say of themselves; shared by all pools of an instance.
+    /// `notices`: what servers say of themselves; `cold`: which servers are cold. Both are shared by all
+    /// pools of an instance.
     server_pool(selection_settings settings, std::string failure_domain,
                 std::map<std::string, std::string> regions,
-                std::shared_ptr<const server_notices> notices = std::make_shared<const server_notices>());
+                std::shared_ptr<const server_notices> notices = std::make_shared<const server_notices>(),
+                std::shared_ptr<warmup::cold_servers> cold = std::make_shared<warmup::cold_servers>());
 
     /// Sets the evacuated failure domains, which all pools of an instance share. Without a call there are
     /// none.
@@ -118,7 +124,8 @@
                 std::uint32_t instances);
 
     /// Chooses among all servers that neither leave nor pause, that are not backed off from, and whose
-    /// failure domain is not evacuated.
+    /// failure domain is not evacuated. A cold one needs a share with a request left, which
+    /// `attempt_started` takes.
     selection choose(const selection_request& request, time_point now, std::mt19937_64& random) const;
     /// Selects `server`, the owner of the request's key, if it is expected to finish in time.
     selection check(const std::string& server, const selection_request& request, time_point now) const;
@@ -203,6 +210,7 @@
     std::shared_ptr<const server_notices> m_notices;
     std::shared_ptr<const evacuation::evacuated_domains> m_evacuations =
         std::make_shared<const evacuation::evacuated_domains>();
+    std::shared_ptr<warmup::cold_servers> m_cold;
     std::map<std::string, state> m_servers; // By id.
     std::uint32_t m_connection_share = 8;
     mutable double m_mean_service_ms = 0; // Cached; 0: must be recomputed.
--- a/src/include/balsampost/entry/entry_metrics.h
+++ b/src/include/balsampost/entry/entry_metrics.h
@@ -27,6 +27,8 @@
     void refused_for_evacuation() { m_refused_for_evacuation.Increment(); }
     void evacuated_domains(std::size_t count) { m_evacuated_domains.Set(static_cast<double>(count)); }
     void refused_for_regions() { m_refused_for_regions.Increment(); }
+    void refused_for_share() { m_refused_for_share.Increment(); }
+    void cold_servers(std::size_t count) { m_cold_servers.Set(static_cast<double>(count)); }
     /// Listed servers that leave by their own word, and that have asked for a pause which runs.
     void server_notices(std::size_t leaving, std::size_t paused) {
         m_leaving_servers.Set(static_cast<double>(leaving));
@@ -76,6 +78,8 @@
     prometheus::Counter& m_unknown_config_values;
     prometheus::Counter& m_refused_for_regions;
     prometheus::Counter& m_unknown_regions;
+    prometheus::Counter& m_refused_for_share;
+    prometheus::Gauge& m_cold_servers;
     prometheus::Histogram& m_latency;
     std::array<prometheus::Counter*, 6> m_attempts{};
 };
--- a/src/libbalsampost_core/server_selection.cpp
+++ b/src/libbalsampost_core/server_selection.cpp
@@ -30,8 +30,6 @@
 constexpr milliseconds min_retry_after{60};
 constexpr milliseconds max_retry_after{600};
 
-/// The refusal of a request whose servers are all evacuated. `returns`: when one may be used again, if that
-/// is known.
 /// When a server in the allowed regions will be available is not known.
 selection outside_regions() {
     selection out;
@@ -39,6 +37,16 @@
     return out;
 }
 
+/// The refusal of a request whose servers are cold; this instance may send one a request at `next`.
+selection cold_selection(time_point next, time_point now) {
+    selection out;
+    out.retry_after = std::chrono::ceil<milliseconds>(next - now);
+    out.cold = true;
+    return out;
+}
+
+/// The refusal of a request whose servers are all evacuated. `returns`: when one may be used again, if that
+/// is known.
 selection evacuated_selection(time_point returns, time_point now) {
     selection out;
     out.retry_after = returns > now && returns != time_point::max()
@@ -57,9 +65,10 @@
 
 server_pool::server_pool(selection_settings settings, std::string failure_domain,
                          std::map<std::string, std::string> regions,
-                         std::shared_ptr<const server_notices> notices)
+                         std::shared_ptr<const server_notices> notices,
+                         std::shared_ptr<warmup::cold_servers> cold)
     : m_settings(settings), m_failure_domain(std::move(failure_domain)), m_regions(std::move(regions)),
-      m_notices(std::move(notices)) {}
+      m_notices(std::move(notices)), m_cold(std::move(cold)) {}
 
 void server_pool::update(const std::vector<const backend*>& servers, std::uint32_t max_connections,
                          std::uint32_t instances) {
@@ -164,7 +173,8 @@
     return estimated_load(s, now) + 1 <= slots * m_settings.max_load_per_slot &&
            s.in_flight < m_connection_share &&
            s.in_flight < m_notices->max_in_flight(s.info.self, s.info.slots, now) &&
-           s.in_flight < m_evacuations->max_in_flight(s.info.failure_domain, s.info.slots, now);
+           s.in_flight < m_evacuations->max_in_flight(s.info.failure_domain, s.info.slots, now) &&
+           s.in_flight < m_cold->max_in_flight(s.info.self, s.info.slots, now);
 }
 
 bool server_pool::is_in(const state& s, const residency::region_limit& regions) const {
@@ -220,6 +230,8 @@
     bool only_evacuated = true;       // No server that stays is outside the evacuated failure domains.
     auto returns = time_point::max(); // First end of an evacuation that is known.
     bool any_evacuated = false;
+    auto cold_until = time_point::max(); // Earliest request to a server that could serve but for its warm-up.
+    bool only_cold = true;
     // Jitter keeps instances with equal estimates from all choosing the same server.
     std::uniform_real_distribution<double> jitter(0.95, 1.05);
     for (const auto& [id, s] : m_servers) {
@@ -249,6 +261,11 @@
             continue;
         }
         only_paused = false;
+        if (!m_cold->may_send(s.info.self, now)) {
+            cold_until = std::min(cold_until, m_cold->next_request_at(s.info.self, now));
+            continue;
+        }
+        only_cold = false;
         const double expected = expected_ms(s, now, true);
         const double max_expected = max_expected_ms(s, request, now);
         if (!has_capacity(s, now) || expected > max_expected) {
@@ -271,6 +288,9 @@
     if (best == nullptr && only_paused && pause_ends != time_point::max()) {
         return {"", milliseconds{0}, std::chrono::ceil<milliseconds>(pause_ends - now), true};
     }
+    if (best == nullptr && only_cold && cold_until != time_point::max()) {
+        return cold_selection(cold_until, now);
+    }
     if (best == nullptr) {
         return {"", milliseconds{0}, soonest};
     }
@@ -295,6 +315,10 @@
         return {"", milliseconds{0},
                 std::chrono::ceil<milliseconds>(m_notices->resumes_at(s.info.self) - now), true};
     }
+    if (!m_cold->may_send(s.info.self, now)) {
+        const auto next = m_cold->next_request_at(s.info.self, now);
+        return cold_selection(next, now);
+    }
     const double expected = expected_ms(s, now, false);
     const double max_expected = max_expected_ms(s, request, now);
     if (!has_capacity(s, now) || expected > max_expected) {
@@ -303,10 +327,11 @@
     return {server, milliseconds{static_cast<std::int64_t>(expected)}, milliseconds{0}};
 }
 
-void server_pool::attempt_started(const std::string& server, time_point) {
+void server_pool::attempt_started(const std::string& server, time_point now) {
     const auto found = m_servers.find(server);
     if (found != m_servers.end()) {
         ++found->second.in_flight;
+        m_cold->sent(found->second.info.self, now);
     }
 }
 
--- a/src/libbalsampost_entry/entry.cpp
+++ b/src/libbalsampost_entry/entry.cpp
@@ -191,6 +191,7 @@
                 servers.push_back(&b);
             }
         }
+        runner->set_cold_servers(cold_servers_of(name));
         runner->update_servers(servers);
         runner->update_evacuations(evacuated_domains());
     }
--- a/src/libbalsampost_entry/entry_metrics.cpp
+++ b/src/libbalsampost_entry/entry_metrics.cpp
@@ -84,6 +84,12 @@
       m_unknown_regions(counters(*m_registry, "balsampost_config_regions_unknown_total",
                                  "Regions named by routes that no setting knows; they have no servers")
                             .Add({})),
+      m_refused_for_share(counters(*m_registry, "balsampost_refused_for_share_total",
+                                   "Requests refused because the servers for them are cold and this "
+                                   "instance has no share of their rate left")
+                              .Add({})),
+      m_cold_servers(gauge(*m_registry, "balsampost_servers_cold",
+                           "Listed servers that are warming up and have a limited rate")),
       m_latency(prometheus::BuildHistogram()
                     .Name("balsampost_answer_seconds")
                     .Help("From the request to the answer")
--- a/src/libbalsampost_entry/entry_updates.cpp
+++ b/src/libbalsampost_entry/entry_updates.cpp
@@ -213,6 +213,7 @@
     if (carries_feed(service)) {
         out.feed = evacuations_to_report();
     }
+    out.sent_ns = now().time_since_epoch().count();
     return out;
 }
 
@@ -235,6 +236,7 @@
     }
     auto interval = report_interval;
     contained("roles of the watches", [&] { update_watch_roles(); });
+    contained("shares of cold servers", [&] { update_shares(); });
     for (auto& [name, runner] : m_key_services) {
         contained("report of the load", [&] { report_load(name, *runner); });
         const auto& view = m_service_views[name];
@@ -265,6 +267,7 @@
     sender.last_report_at = now();
     sender.table = report.table;
     sender.revisions = report.revisions;
+    sender.sent_ns = report.sent_ns;
     sender.position = {report.instance, report.failure_domain, report.capacity_shortage, report.members,
                        report.lost_relay};
     if (!sender.credit.accept(report.keys, now())) {
@@ -369,6 +372,7 @@
             update->second = update_for(receiver->service, r.table, r.revisions);
         }
         update->second.relay = r.relay.port != 0 ? core::to_string(r.relay) : "";
+        update->second.shares = shares_for(receiver->service, r);
         const auto bytes = m_peers.send(r.address, update->second);
         if (bytes == 0) {
             m_updates.blocked(*receiver, now());
@@ -400,6 +404,7 @@
     if (apply_feed(update.feed)) {
         request_update(update.service);
     }
+    shares_received(update.shares);
     const bool from_relay = !update.coordinator_at.empty();
     if (from_relay && from == view.relay) {
         view.relay_updated_at = now();
