core, platform, entry: the speed of servers on shared machines is read and used

Cause: decode_load took a load header with four figures for unusable, so the load of servers that state their speed was never used at all.

Change: the fourth figure is read; if it is empty, not a positive number or above 10,000 the first three are used without it, and balsampost_load_speed_unusable_total counts it, as it does a speed that is missing at a server which stated one before. core::load::speed_estimate keeps the latest statements of a server: a passing slowdown halves every 200 ms towards the server's long-term speed. The selection takes it into the expected completion, for seven of eight requests, and out of the service times that the planner gets.

--- a/src/include/balsampost/core/server_selection.h
+++ b/src/include/balsampost/core/server_selection.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "balsampost/core/backend_directory.h"
+#include "balsampost/core/load/speed_estimate.h"
 #include "balsampost/core/manifest.h"
 #include "balsampost/core/server_notices.h"
 
@@ -27,6 +28,11 @@
     std::uint32_t waiting = 0;
     /// 0: not reported.
     std::uint32_t slots = 0;
+    /// How many times as long as at normal speed work takes at the moment; reported by servers on shared
+    /// machines.
+    std::optional<double> slowdown = std::nullopt;
+    /// A slowdown was reported that cannot be used.
+    bool slowdown_unusable = false;
 };
 
 /// Result of one attempt at a server, as evidence of the server's state.
@@ -63,6 +69,9 @@
     /// Fraction of the time to the deadline that the expected latency may take up. The remainder covers
     /// delays that the estimate does not include.
     double max_deadline_fraction = 0.85;
+    /// Share of the requests for which reported slowdowns are not considered, so that a server with a short
+    /// slowdown keeps that part of its requests and its recovery is noticed.
+    double slowdown_ignored_share = 0.125;
     /// How long a server still gets requests for keys that it owns while they are being moved, from the
     /// earliest time at which it may have reported that it is leaving.
     milliseconds draining_owner_period{1'500};
@@ -123,8 +132,11 @@
     milliseconds service_time(const std::string& server) const;
     double failure_rate(const std::string& server) const;
     server_locality locality_of(const std::string& server) const;
-    /// Service times of one server, without queuing delay. Only answers to requests that did not have to
-    /// queue are counted, or, if there are none, the queued ones with the estimated delay taken out.
+    /// Whether the server has reported a slowdown, so that a report without one lacks it.
+    bool reports_slowdown(const std::string& server) const;
+    /// Service times of one server, without queuing delay and without the effect of passing slowdowns. Only
+    /// answers to requests that did not have to queue are counted, or, if there are none, the queued ones
+    /// with the estimated delay taken out.
     struct service_time_sample {
         std::string server;
         std::uint32_t answers = 0;
@@ -142,6 +154,7 @@
         double other_instances_load = 0; // Requests of other instances at the server, as of `reported_at`.
         time_point reported_at = never;
         double service_ms = 0;            // Smoothed time of a request without queuing; 0: no estimate yet.
+        load::speed_estimate speed;       // Of passing slowdowns; `service_ms` is net of them.
         double failure_rate = 0;          // Moving average over attempts.
         std::uint32_t unqueued_count = 0; // Answers without queuing since the last `take_samples`.
         double unqueued_ms = 0;           // Their total time.
@@ -158,7 +171,11 @@
     double estimated_load(const state& s, time_point now) const;
     /// `penalize_failures`: whether failures make the server less attractive. False for the owner of a key,
     /// which has no alternative.
-    double expected_ms(const state& s, time_point now, bool penalize_failures) const;
+    /// `considers_slowdown`: whether passing slowdowns of the server are included.
+    double expected_ms(const state& s, time_point now, bool penalize_failures,
+                       bool considers_slowdown = true) const;
+    /// Whether the request considers slowdowns; uses `random` only if any server has reported one.
+    bool considers_slowdown(std::mt19937_64& random) const;
     double cost_ms(const state& s, double expected, const selection_request& request) const;
     double mean_service_ms() const;
     double max_expected_ms(const state& s, const selection_request& request, time_point now) const;
@@ -175,6 +192,7 @@
     std::shared_ptr<const server_notices> m_notices;
     std::map<std::string, state> m_servers; // By id.
     std::uint32_t m_connection_share = 8;
+    bool m_slowdown_reported = false;     // By any server of the service.
     mutable double m_mean_service_ms = 0; // Cached; 0: must be recomputed.
 };
 
--- a/src/include/balsampost/entry/entry_metrics.h
+++ b/src/include/balsampost/entry/entry_metrics.h
@@ -39,6 +39,8 @@
     void order(bool ok) { (ok ? m_orders_ok : m_orders_failed).Increment(); }
     void manifest_version(std::uint64_t version) { m_manifest.Set(static_cast<double>(version)); }
     void unknown_config_value() { m_unknown_config_values.Increment(); }
+    /// A load report whose speed is missing or unusable; its other figures are used.
+    void slowdown_unusable() { m_slowdown_unusable.Increment(); }
     void leads(bool does) { m_leads.Set(does ? 1 : 0); }
 
     /// Returns all metrics in the Prometheus text format.
@@ -68,6 +70,7 @@
     prometheus::Gauge& m_leaving_servers;
     prometheus::Gauge& m_paused_servers;
     prometheus::Counter& m_unknown_config_values;
+    prometheus::Counter& m_slowdown_unusable;
     prometheus::Histogram& m_latency;
     std::array<prometheus::Counter*, 6> m_attempts{};
 };
--- a/src/libbalsampost_core/keyed_load.h
+++ b/src/libbalsampost_core/keyed_load.h
@@ -35,6 +35,13 @@
 inline constexpr milliseconds leaving_time{3'000};
 inline constexpr milliseconds pause_notice_time{500};
 
+/// What instances read of the load that a server reports.
+enum class load_reading : std::uint8_t {
+    nothing,       ///< As if the header were dropped.
+    without_speed, ///< The first three figures.
+    with_speed,    ///< The speed as well.
+};
+
 /// The load and the service that a run plays.
 struct load_case {
     const char* name = "";
@@ -63,6 +70,10 @@
     milliseconds pausing_from{0};  // ... from then ...
     milliseconds pausing_until{0}; // ... until then.
     bool hears_notices = true;     // Formerly instances passed over what servers say of themselves.
+    milliseconds spell{0};         // Each server is slow for spells of this length ...
+    double spell_share = 0.2;      // ... that make up this share of the time ...
+    double spell_slowdown = 3;     // ... and lengthen its work by this factor.
+    load_reading reading = load_reading::without_speed;
     milliseconds length{20'000};
     milliseconds settled{5'000}; // Requests before then are not counted.
 };
@@ -74,7 +85,8 @@
     double refused = 0;
     double failed = 0;
     double moves = 0;
-    double cold = 0; // Requests for keys that are not hot ...
+    double late_moves = 0; // Moves after `settled`.
+    double cold = 0;       // Requests for keys that are not hot ...
     double cold_in_target = 0;
     double late_at_leaving = 0; // Requests of an instance over `drain` after a server told it that it leaves.
     double during_pause = 0;    // Requests of an instance over 0.5 s after a server asked it for a pause.
@@ -114,6 +126,9 @@
         m_credits.resize(m_pools.size());
         m_heard_leaving.resize(m_pools.size());
         m_heard_pause.resize(m_pools.size());
+        if (m_case.spell > milliseconds{0}) {
+            draw_spells();
+        }
         m_table.ranges = {{0, key_count - 1, {}, 0, {}}};
         apply_moves(m_table, initial_owners(planned_servers(policy == placement_policy::known_speeds)));
     }
@@ -137,6 +152,7 @@
         double slowness = 1;
         std::uint32_t running = 0;
         std::deque<std::function<void()>> queue;
+        std::vector<time_point> spells; // Begins of the slow spells, in order.
     };
     struct request {
         time_point sent; // First attempt.
@@ -149,6 +165,46 @@
     }
     double uniform() { return std::uniform_real_distribution<double>(0, 1)(m_random); }
 
+    /// Draws the spells from a random device of their own, so that the load is the same with and without
+    /// them.
+    void draw_spells() {
+        std::mt19937_64 random(m_random() ^ 0x5be11U);
+        const double spell_ms = static_cast<double>(m_case.spell.count());
+        std::exponential_distribution<double> gap_ms(
+            1 / (spell_ms * (1 - m_case.spell_share) / m_case.spell_share));
+        for (auto& o : m_owners) {
+            for (auto at = begin; at < begin + m_case.length; at += m_case.spell) {
+                at += milliseconds{static_cast<std::int64_t>(gap_ms(random))};
+                o.spells.push_back(at);
+            }
+        }
+    }
+
+    /// The begin of the spell that lasts at `at`, or of the next one; `time_point::max()` if there is none.
+    time_point spell_at(const owner& o, time_point at) const {
+        const auto found = std::upper_bound(o.spells.begin(), o.spells.end(), at - m_case.spell);
+        return found == o.spells.end() ? time_point::max() : *found;
+    }
+
+    double slowdown(const owner& o) const { return spell_at(o, m_now) <= m_now ? m_case.spell_slowdown : 1; }
+
+    /// How long `work`, begun now, takes through slow spells.
+    duration time_of(const owner& o, duration work) const {
+        auto at = m_now;
+        while (work > duration{0}) {
+            const auto spell = spell_at(o, at);
+            const double factor = spell <= at ? m_case.spell_slowdown : 1;
+            const auto until = spell <= at ? spell + m_case.spell : spell;
+            const auto needed = std::chrono::duration_cast<duration>(work * factor);
+            if (until == time_point::max() || needed <= until - at) {
+                return at + needed - m_now;
+            }
+            work -= std::chrono::duration_cast<duration>((until - at) / factor);
+            at = until;
+        }
+        return at - m_now;
+    }
+
     std::vector<key_server> planned_servers(bool true_speeds) const {
         std::vector<key_server> out;
         for (const auto& o : m_owners) {
@@ -273,18 +329,19 @@
         o.queue.push_back([this, r, i, to, sent] {
             const double work = -std::log(1 - uniform()) * static_cast<double>(m_case.mean_work.count()) *
                                 m_owners[to].slowness;
-            schedule(milliseconds{static_cast<std::int64_t>(work)}, [this, r, i, to, sent] {
-                auto& server = m_owners[to];
-                --server.running;
-                end_attempt(i, server, attempt_result::answered, sent);
-                if (leaves(to)) {
-                    hear(i, to, {true, std::nullopt});
-                }
-                finish(r, m_now - r.sent <= m_case.target     ? &caller_results::in_target
-                          : m_now - r.sent <= m_case.deadline ? &caller_results::late
-                                                              : &caller_results::failed);
-                start_next(server);
-            });
+            schedule(time_of(m_owners[to], milliseconds{static_cast<std::int64_t>(work)}),
+                     [this, r, i, to, sent] {
+                         auto& server = m_owners[to];
+                         --server.running;
+                         end_attempt(i, server, attempt_result::answered, sent);
+                         if (leaves(to)) {
+                             hear(i, to, {true, std::nullopt});
+                         }
+                         finish(r, m_now - r.sent <= m_case.target     ? &caller_results::in_target
+                                   : m_now - r.sent <= m_case.deadline ? &caller_results::late
+                                                                       : &caller_results::failed);
+                         start_next(server);
+                     });
         });
         start_next(o);
     }
@@ -299,7 +356,13 @@
     }
 
     void end_attempt(std::size_t i, const owner& o, attempt_result result, time_point sent) {
-        const load_report load{o.running + 1, static_cast<std::uint32_t>(o.queue.size()), m_case.slots};
+        std::optional<load_report> load{
+            {o.running + 1, static_cast<std::uint32_t>(o.queue.size()), m_case.slots}};
+        if (m_case.reading == load_reading::with_speed) {
+            load->slowdown = slowdown(o);
+        } else if (m_case.reading == load_reading::nothing) {
+            load.reset();
+        }
         m_pools[i].attempt_ended(o.info.self.id, result,
                                  std::chrono::duration_cast<milliseconds>(m_now - sent), load, m_now);
     }
@@ -378,6 +441,9 @@
             moves = spread_hot_ranges(m_table, servers, m_rates, {});
         }
         m_results.moves += static_cast<double>(moves.size());
+        if (m_now >= begin + m_case.settled) {
+            m_results.late_moves += static_cast<double>(moves.size());
+        }
         apply_moves(m_table, moves);
         m_moving_until.clear();
         for (const auto& m : moves) {
@@ -419,6 +485,7 @@
         sum.refused += r.refused;
         sum.failed += r.failed;
         sum.moves += r.moves;
+        sum.late_moves += r.late_moves;
         sum.cold += r.cold;
         sum.cold_in_target += r.cold_in_target;
         sum.late_at_leaving += r.late_at_leaving;
@@ -427,8 +494,8 @@
     std::cout << " [" << c.name << (policy == placement_policy::planned ? ", planned" : ", known speeds")
               << ": in target " << sum.share(sum.in_target) << " late " << sum.share(sum.late) << " refused "
               << sum.share(sum.refused) << " failed " << sum.share(sum.failed) << " moves " << sum.moves
-              << " late at leaving servers " << sum.late_at_leaving << " during pauses " << sum.during_pause
-              << "]";
+              << " of them late " << sum.late_moves << " late at leaving servers " << sum.late_at_leaving
+              << " during pauses " << sum.during_pause << "]";
     return sum;
 }
 
--- a/src/libbalsampost_core/server_selection.cpp
+++ b/src/libbalsampost_core/server_selection.cpp
@@ -105,7 +105,13 @@
                      std::chrono::duration<double>(m_settings.estimate_half_life));
 }
 
-double server_pool::expected_ms(const state& s, time_point now, bool penalize_failures) const {
+bool server_pool::considers_slowdown(std::mt19937_64& random) const {
+    return !m_slowdown_reported ||
+           std::uniform_real_distribution<double>(0, 1)(random) >= m_settings.slowdown_ignored_share;
+}
+
+double server_pool::expected_ms(const state& s, time_point now, bool penalize_failures,
+                                bool considers_slowdown) const {
     double service = service_ms_of(s, now);
     if (now < s.info.warmup_end()) {
         service *= warmup_factor;
@@ -114,7 +120,9 @@
     const double ahead = std::max(0.0, estimated_load(s, now) + 1 - slots);
     const double travel = s.locality == server_locality::other_region ? region_round_trip_ms : 0;
     const double failures = penalize_failures ? s.failure_rate * estimate_weight(s, now) : 0;
-    return (service * (1 + ahead / slots) + travel) * (1 + failure_penalty * failures * failures);
+    const double work = service * (1 + ahead / slots);
+    return ((considers_slowdown ? s.speed.elapsed_ms(work, now) : work) + travel) *
+           (1 + failure_penalty * failures * failures);
 }
 
 double server_pool::cost_ms(const state& s, double expected, const selection_request& request) const {
@@ -175,6 +183,7 @@
     bool only_paused = true;
     // Jitter keeps instances with equal estimates from all choosing the same server.
     std::uniform_real_distribution<double> jitter(0.95, 1.05);
+    const bool slowdowns = considers_slowdown(random);
     for (const auto& [id, s] : m_servers) {
         if (leaves(s) || now < s.backoff_until ||
             std::find(request.excluded_servers.begin(), request.excluded_servers.end(), id) !=
@@ -186,7 +195,7 @@
             continue;
         }
         only_paused = false;
-        const double expected = expected_ms(s, now, true);
+        const double expected = expected_ms(s, now, true, slowdowns);
         const double max_expected = max_expected_ms(s, request, now);
         if (!has_capacity(s, now) || expected > max_expected) {
             soonest = std::min(soonest, time_until_capacity(s, expected, max_expected));
@@ -278,12 +287,16 @@
         if (report->slots > 0) {
             s.info.slots = report->slots;
         }
+        if (report->slowdown) {
+            s.speed.stated(*report->slowdown, now);
+            m_slowdown_reported = true;
+        }
     }
     if (result == attempt_result::answered) {
         // Takes out the queuing delay, on the assumption that the requests ahead were spread over all slots.
         const double slots = std::max<std::uint32_t>(s.info.slots, 1);
         const double ahead = std::max(0.0, estimated_load(s, now) + 1 - slots);
-        const double sample = static_cast<double>(took.count()) / (1 + ahead / slots);
+        const double sample = s.speed.work_ms(took, now) / (1 + ahead / slots);
         ++s.answers;
         const double gain = std::max(service_time_gain, 1.0 / s.answers);
         s.service_ms += gain * (sample - s.service_ms);
@@ -306,6 +319,11 @@
     return milliseconds{static_cast<std::int64_t>(ms)};
 }
 
+bool server_pool::reports_slowdown(const std::string& server) const {
+    const auto found = m_servers.find(server);
+    return found != m_servers.end() && found->second.speed.known();
+}
+
 std::vector<server_pool::service_time_sample> server_pool::take_samples() {
     std::vector<service_time_sample> out;
     for (auto& [id, s] : m_servers) {
--- a/src/libbalsampost_entry/entry_metrics.cpp
+++ b/src/libbalsampost_entry/entry_metrics.cpp
@@ -72,6 +72,9 @@
       m_unknown_config_values(counters(*m_registry, "balsampost_config_values_unknown_total",
                                        "Values of routes that are not known; the strictest ones are used")
                                   .Add({})),
+      m_slowdown_unusable(counters(*m_registry, "balsampost_load_speed_unusable_total",
+                                   "Load reports used without their speed, which was missing or unusable")
+                              .Add({})),
       m_latency(prometheus::BuildHistogram()
                     .Name("balsampost_answer_seconds")
                     .Help("From the request to the answer")
--- a/src/libbalsampost_entry/forwarding.cpp
+++ b/src/libbalsampost_entry/forwarding.cpp
@@ -322,6 +322,10 @@
                              "request");
     }
     if (auto* service = m_context.state.find(m_service)) {
+        if (load && !load->slowdown &&
+            (load->slowdown_unusable || service->pool.reports_slowdown(server.self.id))) {
+            m_context.metrics.slowdown_unusable();
+        }
         service->pool.attempt_ended(server.self.id, outcome, elapsed, load, at);
     }
     if (outcome != attempt_result::answered) {
