--- a/src/include/balsampost/entry/entry_metrics.h
+++ b/src/include/balsampost/entry/entry_metrics.h
@@ -45,6 +45,8 @@
     void manifest_version(std::uint64_t version) { m_manifest.Set(static_cast<double>(version)); }
     void unknown_config_value() { m_unknown_config_values.Increment(); }
     void unknown_region() { m_unknown_regions.Increment(); }
+    /// A load report whose speed is missing or unusable; its other figures are used.
+    void slowdown_unusable() { m_slowdown_unusable.Increment(); }
     void leads(bool does) { m_leads.Set(does ? 1 : 0); }
 
     /// Returns all metrics in the Prometheus text format.
@@ -80,6 +82,7 @@
     prometheus::Counter& m_unknown_regions;
     prometheus::Counter& m_refused_for_share;
     prometheus::Gauge& m_cold_servers;
+    prometheus::Counter& m_slowdown_unusable;
     prometheus::Histogram& m_latency;
     std::array<prometheus::Counter*, 6> m_attempts{};
 };
--- a/src/libbalsampost_entry/entry_metrics.cpp
+++ b/src/libbalsampost_entry/entry_metrics.cpp
@@ -90,6 +90,9 @@
                               .Add({})),
       m_cold_servers(gauge(*m_registry, "balsampost_servers_cold",
                            "Listed servers that are warming up and have a limited rate")),
+      m_slowdown_unusable(counters(*m_registry, "balsampost_load_speed_unusable_total",
+                                   "Load reports used without their speed, which was missing or unusable")
+                              .Add({})),
       m_latency(prometheus::BuildHistogram()
                     .Name("balsampost_answer_seconds")
                     .Help("From the request to the answer")
