--- a/src/include/balsampost/core/key_coordinator.h
+++ b/src/include/balsampost/core/key_coordinator.h
@@ -196,6 +196,8 @@
     /// failure domain. Returns whether the limit has changed.
     bool limit_owner_regions(residency::region_limit limit,
                              const std::map<std::string, std::string>& regions);
+    /// Whether no usable server was in the owner regions at the last plan, although they are limited.
+    bool owner_regions_unserved() const { return m_placement.unserved(); }
     /// The process with this instance id has certainly ended.
     void instance_ended(const std::string& instance) { m_ended_instances.insert(instance); }
     void report(const key_report& r, time_point now);
--- a/src/include/balsampost/core/residency/owner_placement.h
+++ b/src/include/balsampost/core/residency/owner_placement.h
@@ -27,6 +27,8 @@
     void update(const std::map<incarnation, backend>& listed,
                 const std::function<bool(const incarnation&)>& usable, const key_table& table);
 
+    /// Whether the last update found a limit and no usable server inside.
+    bool unserved() const { return m_unserved; }
     /// Whether a usable server may own keys: it is in the owner regions, or no usable server is.
     bool may_own(const incarnation& which) const { return !m_in_force || is_inside(which); }
     /// Whether the keys of `range`, whose owner is lost, wait for the owner regions: the owner was there and
@@ -41,6 +43,7 @@
     std::map<incarnation, std::string> m_region_by_server; // Empty while there is no limit.
     bool m_region_known = false; // The settings know at least one of the owner regions.
     bool m_in_force = false;     // A usable server is in the owner regions, so owners are planned only there.
+    bool m_unserved = false;
     bool m_owner_outside = false; // While not in force: some owner in the table is outside the owner regions.
 };
 
--- a/src/include/balsampost/entry/key_service.h
+++ b/src/include/balsampost/entry/key_service.h
@@ -100,6 +100,7 @@
     core::time_point m_timer_at{};
     bool m_stopped = false;
     bool m_was_leader = false;
+    bool m_owner_regions_unserved = false; // As last logged by this instance as the coordinator.
     std::function<void()> m_on_table_changed;
     std::function<void(const core::incarnation&, const core::server_notice&)> m_on_notice;
     /// Version for which m_on_table_changed was last called.
--- a/src/include/balsampost/telemetry/events.h
+++ b/src/include/balsampost/telemetry/events.h
@@ -29,6 +29,7 @@
     config_value_unknown = 203,
     config_region_unknown = 204,
     owner_regions_changed = 205,
+    owner_regions_unserved = 206,
     store_unavailable = 210,
     store_recovered = 211,
     peer_updates_started = 212,
--- a/src/libbalsampost_core/residency/owner_placement.cpp
+++ b/src/libbalsampost_core/residency/owner_placement.cpp
@@ -24,6 +24,7 @@
     }
     m_limit = std::move(limit);
     m_in_force = false; // Until the next update.
+    m_unserved = false;
     return true;
 }
 
@@ -50,6 +51,7 @@
     m_in_force = std::any_of(listed.begin(), listed.end(), [&](const auto& entry) {
         return is_inside(entry.first) && usable(entry.first);
     });
+    m_unserved = !m_in_force;
     m_owner_outside =
         !m_in_force && std::any_of(table.ranges.begin(), table.ranges.end(), [&](const key_range& r) {
             return m_region_by_server.contains(r.owner) && !is_inside(r.owner);
--- a/src/libbalsampost_core/residency/owner_placement_test.cpp
+++ b/src/libbalsampost_core/residency/owner_placement_test.cpp
@@ -235,6 +235,7 @@
         f.run(seconds{3});
         CPPUNIT_ASSERT_EQUAL(std::string("es"), f.domains());
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, f.moves);
+        CPPUNIT_ASSERT(f.coordinator.owner_regions_unserved());
         f.lose('e');
         f.run(seconds{6});
         CPPUNIT_ASSERT_EQUAL(std::string("s"), f.domains());
@@ -243,6 +244,7 @@
         f.list();
         f.run(seconds{3});
         CPPUNIT_ASSERT_MESSAGE("the first server inside gets all keys", f.domains() == "n" && f.settled());
+        CPPUNIT_ASSERT(!f.coordinator.owner_regions_unserved());
     }
 
     void leaving_server_hands_over_within_the_limit() {
--- a/src/libbalsampost_entry/forwarding.cpp
+++ b/src/libbalsampost_entry/forwarding.cpp
@@ -244,11 +244,11 @@
         return false;
     }
     const bool named = range != nullptr && !range->owner.empty();
-    m_server = named ? range->owner.id : "";
     if (named && m_context.state.directory().find(range->owner.id) != nullptr) {
         if (!service.pool.check(range->owner.id, selection(at), at).outside_regions) {
             return false;
         }
+        m_server = range->owner.id;
         refuse_for_regions("the owner of the key is outside the allowed regions");
         return true;
     }
@@ -257,6 +257,7 @@
         (!named || service.pool.has_server_in(service.owner_regions))) {
         return false;
     }
+    m_server = named ? range->owner.id : "";
     refuse_for_regions("no server in the allowed regions is left");
     return true;
 }
--- a/src/libbalsampost_entry/key_service.cpp
+++ b/src/libbalsampost_entry/key_service.cpp
@@ -179,6 +179,10 @@
         telemetry::log(leads_now ? event::authority_taken : event::authority_lost,
                        {{"service", m_service}, {"term", std::to_string(m_coordinator.term())}});
     }
+    const bool unserved = leads_now && m_coordinator.owner_regions_unserved();
+    if (std::exchange(m_owner_regions_unserved, unserved) != unserved && unserved) {
+        telemetry::log(event::owner_regions_unserved, {{"service", m_service}});
+    }
     if (leads_now && m_announced_version != version() && !table().ranges.empty() &&
         table().coordinator == m_incarnation) {
         m_announced_version = version();
--- a/src/libbalsampost_telemetry/events.cpp
+++ b/src/libbalsampost_telemetry/events.cpp
@@ -35,6 +35,8 @@
      "a route names a region that no setting knows; it has no servers"},
     {event::owner_regions_changed, severity::info, "owner_regions_changed",
      "the regions in which the owners of a service's keys may be changed"},
+    {event::owner_regions_unserved, severity::warning, "owner_regions_unserved",
+     "no server that can own keys is in the owner regions of a service"},
     {event::store_unavailable, severity::warning, "store_unavailable",
      "the platform's store does not respond"},
     {event::store_recovered, severity::info, "store_back", "the platform's store responds again"},
