entry: what callers and servers hold is counted in one account

An instance held whatever legal requests added up to: header sections of many short fields (83 bytes a field), bytes read ahead, answers that are not read, chunk headers without end. It outgrew memory_mb by a factor of four, and callers that stopped partway kept all descriptors.

Sessions and connections to servers charge all that they hold. When the account is full, idle, then slow, then larger connections end; a request that was not forwarded gets 503. Reading stops while answers are not taken, a body has a minimum rate, chunk headers have the limit of header sections, and one connection parses a bounded number of fields in an event. Limits are settings ([limits]), counted by cause; event 110 is one line for a crowd.

--- a/src/include/balsampost/entry/caller_session.h
+++ b/src/include/balsampost/entry/caller_session.h
@@ -16,6 +16,9 @@
 
 namespace balsampost::entry {
 
+/// A caller that is refused for want of memory may try again after this time.
+inline constexpr core::milliseconds memory_full_retry_after{500};
+
 class caller_session : public std::enable_shared_from_this<caller_session> {
 public:
     caller_session(caller_listener& owner, net::tcp::socket socket);
@@ -32,6 +35,10 @@
     void begin_stop();
     /// Answers every request that was read with an error and ends the connection.
     void fail_in_flight(caller_listener::unanswered_counts& counts);
+    /// Closes the connection for a limit. The listener's report has one line for many.
+    void close_for(caller_limit cause);
+    /// What decides about the place of the connection in the closing order.
+    core::memory::candidate as_candidate(core::time_point at);
     /// Closes the connection. Each request that was read and has no whole answer gets a line with `reason`.
     void close(std::string_view reason);
 
@@ -45,6 +52,8 @@
         std::string request_id;
         /// Included in the listener's body bytes.
         std::uint64_t accounted_bytes = 0;
+        /// Memory of the request or of its answer; included in m_queue_memory.
+        std::uint64_t held_bytes = 0;
         bool is_head = false;
         /// The connection closes after this answer; later requests are not read.
         bool is_last = false;
@@ -82,6 +91,29 @@
     bool refuse_upload_for_stop();
     void refuse_upload(const char* reason);
     bool reserve_body(std::uint64_t size);
+    /// Makes room for the unparsed bytes in a body of unknown length. Returns false if the request was
+    /// refused.
+    bool reserve_chunks();
+    /// Goes on with parsing in a later event, after other connections had their turn.
+    void resume_later();
+
+    // Memory
+    static std::uint64_t memory_of(const net::beast::http::fields& headers);
+    void hold_request(exchange& e);
+    void hold_answer(exchange& e);
+    void set_held(exchange& e, std::uint64_t bytes);
+    std::uint64_t held_bytes() const;
+    /// Counts what the connection holds now. Returns false if a limit forbids it.
+    bool charge();
+    /// Charges, and refuses the request being read, or closes the connection, if that fails.
+    void settle();
+    /// Refuses the request being read.
+    void refuse_for_memory();
+    void close_without_lines();
+    /// Counts the bytes that the caller has taken since the last call.
+    void note_taken_bytes(core::time_point at);
+    /// Bytes that may be read ahead of parsing.
+    std::size_t max_unparsed() const;
     void send_pending_continue();
     void reject(net::error_code ec);
     void on_request();
@@ -110,6 +142,8 @@
 
     caller_listener& m_owner;
     net::tcp::socket m_socket;
+    std::shared_ptr<core::memory::account> m_account; // Keeps it alive for m_holding.
+    core::memory::holding m_holding;
     std::string m_unparsed; // Received, not yet parsed.
     std::unique_ptr<request_parser> m_parser;
     core::request_pipeline m_pipeline;
@@ -124,7 +158,13 @@
     core::time_point m_message_started_at{}; // When the first byte of the current message arrived.
     std::uint64_t m_reserved_bytes = 0;      // Accounted for the message being read.
     std::uint64_t m_answer_bytes = 0;        // Accounted for the answer being written.
-    bool m_waiting_for_bytes = false;        // A read wait is pending.
+    std::uint64_t m_head_memory = 0;         // Memory of the header section being read.
+    std::uint64_t m_queue_memory = 0;        // Sum of held_bytes of m_exchanges.
+    std::uint64_t m_parsed_in_event = 0;     // Memory of the header sections parsed in this event.
+    core::memory::progress_meter m_read_progress;
+    core::memory::progress_meter m_write_progress;
+    bool m_resume_posted = false;
+    bool m_waiting_for_bytes = false; // A read wait is pending.
     bool m_writing = false;
     bool m_in_write_loop = false;
     bool m_message_started = false;
@@ -139,7 +179,12 @@
 
 template <class Step>
 void caller_session::guard(std::string_view place, Step&& step) {
-    if (!contained(place, std::forward<Step>(step))) {
+    const auto self = shared_from_this();
+    m_parsed_in_event = 0;
+    if (!contained(place, [&] {
+            step();
+            settle();
+        })) {
         contained("close of a connection", [&] { close("a handler of the connection failed"); });
     }
 }
--- a/src/include/balsampost/entry/entry.h
+++ b/src/include/balsampost/entry/entry.h
@@ -96,6 +96,7 @@
 
     settings m_settings;
     core::time_point m_started;
+    std::shared_ptr<core::memory::account> m_memory;
     net::asio::io_context m_context{1};
     timers m_timers;
     descriptor_room m_room;
--- a/src/include/balsampost/entry/entry_metrics.h
+++ b/src/include/balsampost/entry/entry_metrics.h
@@ -3,6 +3,7 @@
 
 #include "balsampost/core/server_selection.h"
 #include "balsampost/core/time.h"
+#include "balsampost/entry/caller_memory.h"
 
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
@@ -33,6 +34,9 @@
     void attempt_failed(core::attempt_result outcome) {
         m_attempts[static_cast<std::size_t>(outcome)]->Increment();
     }
+    /// A connection was closed, or a request refused, for a limit of callers.
+    void caller_limited(caller_limit cause) { m_limited[static_cast<std::size_t>(cause)]->Increment(); }
+    void memory_held(std::uint64_t bytes) { m_memory_held.Set(static_cast<double>(bytes)); }
     void caller_disconnected() { m_left.Increment(); }
     void store_call(bool ok) { (ok ? m_store_ok : m_store_failed).Increment(); }
     void keys_moved(std::uint64_t keys) { m_keys_moved.Increment(static_cast<double>(keys)); }
@@ -68,6 +72,8 @@
     prometheus::Gauge& m_leaving_servers;
     prometheus::Gauge& m_paused_servers;
     prometheus::Counter& m_unknown_config_values;
+    prometheus::Gauge& m_memory_held;
+    std::array<prometheus::Counter*, caller_limits_count> m_limited{};
     prometheus::Histogram& m_latency;
     std::array<prometheus::Counter*, 6> m_attempts{};
 };
--- a/src/include/balsampost/entry/http_client.h
+++ b/src/include/balsampost/entry/http_client.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "balsampost/core/ini.h"
+#include "balsampost/core/memory/account.h"
 #include "balsampost/entry/timers.h"
 #include "balsampost/net/asio.h"
 
@@ -78,6 +79,13 @@
     void close_idle(const core::endpoint& to);
     /// `has_room` tells whether one more connection may be opened; idle connections are closed to make room.
     void limit_connections(std::function<bool()> has_room) { m_has_room = std::move(has_room); }
+    /// Counts all that connections hold in `memory`; `make_room` makes room there for so many bytes, which a
+    /// connection that holds the second number needs.
+    void count_in(std::shared_ptr<core::memory::account> memory,
+                  std::function<bool(std::uint64_t, std::uint64_t)> make_room) {
+        m_memory = std::move(memory);
+        m_make_room = std::move(make_room);
+    }
     std::size_t connection_count() const { return m_connection_count; }
     std::uint64_t connections_opened() const { return m_connections_opened; }
     /// Memory held by bodies of responses that are being read.
@@ -104,6 +112,8 @@
     std::size_t m_connection_count = 0;
     std::uint64_t m_connections_opened = 0;
     std::uint64_t m_body_bytes = 0;
+    std::shared_ptr<core::memory::account> m_memory; // Null: nothing is counted.
+    std::function<bool(std::uint64_t, std::uint64_t)> m_make_room;
 };
 
 } // namespace balsampost::entry
--- a/src/include/balsampost/entry/settings.h
+++ b/src/include/balsampost/entry/settings.h
@@ -66,6 +66,22 @@
     double capacity_shortage() const;
 };
 
+/// Limits of what callers and servers may make the instance hold.
+struct limit_settings {
+    /// Part of the memory for all that is held for callers and servers, in percent; the rest is the process's
+    /// own.
+    std::uint32_t memory_percent = 50;
+    /// Part of the memory that one caller's connection may hold.
+    std::uint32_t connection_percent = 40;
+    /// Part of the memory that all connections from one client address may hold.
+    std::uint32_t address_percent = 45;
+    /// Bytes per second that a caller must send of a body, or take of an answer, on average over a window.
+    std::uint32_t min_rate = 256;
+    core::milliseconds rate_window{10'000};
+    /// Requests of one connection that are read before earlier ones are answered.
+    std::uint32_t requests_ahead = 16;
+};
+
 struct log_settings {
     std::string level = "info";
 };
@@ -76,6 +92,7 @@
     store_settings store;
     bound_settings bounds;
     resource_settings resources;
+    limit_settings limits;
     log_settings log;
     std::map<std::string, std::string> regions; ///< Region of each failure domain.
 };
--- a/src/include/balsampost/telemetry/events.h
+++ b/src/include/balsampost/telemetry/events.h
@@ -23,6 +23,7 @@
     handler_failed = 107,
     accept_paused = 108,
     accept_resumed = 109,
+    callers_limited = 110,
     config_in_force = 200,
     config_unusable = 201,
     members_changed = 202,
--- a/src/libbalsampost_entry/caller_listener.cpp
+++ b/src/libbalsampost_entry/caller_listener.cpp
@@ -4,6 +4,7 @@
 #include "balsampost/entry/caller_session.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace balsampost::entry {
 
@@ -11,16 +12,18 @@
 
 namespace {
 
-// A connection that had a request less than this time ago is likely to get another.
-constexpr core::milliseconds min_idle_time{1'000};
+constexpr std::uint64_t body_memory_divisor = 3;       // Bodies may use a third of the memory.
 constexpr core::milliseconds idle_search_interval{50}; // Bounds the searches while callers are refused.
 
 } // namespace
 
 caller_listener::caller_listener(net::asio::io_context& context, forwarding_context forwarding,
-                                 const settings& s, descriptor_room* room)
+                                 const settings& s, descriptor_room* room,
+                                 std::shared_ptr<core::memory::account> memory)
     : m_context(context), m_forwarding(forwarding), m_settings(s), m_room(room),
-      m_accepts(context, "callers") {
+      m_accepts(context, "callers"),
+      m_memory(memory ? std::move(memory) : std::make_shared<core::memory::account>(memory_limits_of(s))),
+      m_closings(forwarding.metrics), m_progress_rule(progress_rule_of(s)) {
     if (m_room != nullptr) {
         m_room->count(core::descriptor_use::callers, [this] { return m_sessions.size(); });
     }
@@ -33,11 +36,11 @@
     m_accepts.start(
         m_context, m_settings.listen.callers,
         [this](net::tcp::socket socket) { return add_session(std::move(socket)); },
-        [this] { close_longest_idle(); });
+        [this] { close_quietest(); });
 }
 
 bool caller_listener::add_session(net::tcp::socket socket) {
-    if (m_room != nullptr && !m_room->has_room(core::descriptor_use::callers) && !close_longest_idle()) {
+    if (m_room != nullptr && !m_room->has_room(core::descriptor_use::callers) && !close_quietest()) {
         error_code ec;
         socket.close(ec); // No request was read, so the caller may safely retry at another instance.
         return false;
@@ -48,24 +51,83 @@
     return true;
 }
 
-bool caller_listener::close_longest_idle() {
+bool caller_listener::close_quietest() {
     const auto at = now();
     if (at < m_none_idle_until) {
         return false;
     }
-    std::shared_ptr<caller_session> longest;
+    const auto before = m_sessions.size();
+    if (!close_in_order(nullptr, std::numeric_limits<std::uint64_t>::max(),
+                        [&] { return m_sessions.size() < before; })) {
+        m_none_idle_until = at + idle_search_interval;
+        return false;
+    }
+    return true;
+}
+
+bool caller_listener::close_in_order(const caller_session* requester, std::uint64_t larger_than,
+                                     const std::function<bool()>& enough) {
+    if (m_making_room) { // A connection that is about to be closed reads what has arrived.
+        return enough();
+    }
+    m_making_room = true;
+    const auto at = now();
+    std::vector<std::shared_ptr<caller_session>> sessions;
+    std::vector<core::memory::candidate> candidates;
     for (const auto& s : m_sessions) {
-        if (s->idle() && (!longest || s->idle_since() < longest->idle_since())) {
-            longest = s;
+        if (s.get() != requester) {
+            sessions.push_back(s);
+            candidates.push_back(s->as_candidate(at));
         }
     }
-    if (!longest || longest->idle_since() + min_idle_time > at) {
-        m_none_idle_until = at + idle_search_interval;
-        return false;
+    for (const auto& choice : core::memory::closing_order(candidates, at, larger_than)) {
+        if (enough()) {
+            break;
+        }
+        const auto& s = sessions[choice.index];
+        if (choice.cause == core::memory::closing_cause::idle) {
+            const auto before = m_sessions.size();
+            s->close_if_idle(); // A request that has just arrived keeps it open.
+            if (m_sessions.size() < before) {
+                m_closings.note(caller_limit::idle);
+            }
+        } else {
+            s->close_for(limit_of(choice.cause));
+        }
     }
-    const auto before = m_sessions.size();
-    longest->close_if_idle(); // A request that has just arrived keeps it open.
-    return m_sessions.size() < before;
+    m_making_room = false;
+    return enough();
+}
+
+bool caller_listener::make_room(std::uint64_t bytes, std::uint64_t larger_than,
+                                const caller_session* requester) {
+    return close_in_order(requester, larger_than,
+                          [&] { return bytes <= m_memory->limits().total - m_memory->used(); });
+}
+
+bool caller_listener::make_room_for(const caller_session& session, core::memory::holding& held,
+                                    std::uint64_t bytes) {
+    auto result = held.set(bytes);
+    if (result == core::memory::charge_result::total_full &&
+        make_room(bytes - held.bytes(), bytes, &session)) {
+        result = held.set(bytes);
+    }
+    if (result != core::memory::charge_result::granted) {
+        m_closings.note(limit_of(result));
+    }
+    return result == core::memory::charge_result::granted;
+}
+
+std::uint64_t caller_listener::max_body_bytes() const {
+    return (static_cast<std::uint64_t>(m_settings.resources.memory_mb) << 20U) / body_memory_divisor;
+}
+
+bool caller_listener::make_room_for_body(const caller_session& session, std::uint64_t bytes) {
+    const auto most = max_body_bytes();
+    const auto fits = [&] { return m_body_bytes + bytes <= most; };
+    // A body that never fits closes no other connection.
+    return fits() ||
+           (bytes <= most && close_in_order(&session, std::numeric_limits<std::uint64_t>::max(), fits));
 }
 
 void caller_listener::begin_stop(const core::stop_window& window) {
--- a/src/libbalsampost_entry/caller_rig.h
+++ b/src/libbalsampost_entry/caller_rig.h
@@ -20,8 +20,8 @@
 
 template <class Platform = fake_platform>
 struct caller_rig {
-    explicit caller_rig(std::deque<std::string> script)
-        : config(rig_settings()), timer_queue(context), client(context, timer_queue, {}),
+    explicit caller_rig(std::deque<std::string> script, settings s = rig_settings())
+        : config(std::move(s)), timer_queue(context), client(context, timer_queue, {}),
           server(context, std::move(script)), state(config),
           callers(context, {state, client, timer_queue, adapter, metrics}, config) {
         core::backend b;
--- a/src/libbalsampost_entry/caller_session.cpp
+++ b/src/libbalsampost_entry/caller_session.cpp
@@ -22,16 +22,17 @@
 constexpr std::size_t read_size = 64U << 10U;
 constexpr int max_reads_per_event = 4;                 // Keeps one busy connection from starving the others.
 constexpr std::size_t max_unparsed_bytes = 64U << 10U; // Received ahead of unanswered requests.
-constexpr std::size_t max_pipelined_requests = 16;     // Unanswered requests of one connection.
-constexpr std::size_t max_idle_capacity = 4U << 10U;   // Bytes that an empty buffer may keep allocated.
+constexpr std::size_t max_unparsed_if_full = 16U << 10U; // The same, while no further request is started.
+// Keeps header sections of very many fields from starving the other connections.
+constexpr std::uint64_t max_head_memory_per_event = 256U << 10U;
+constexpr std::size_t max_idle_capacity = 4U << 10U;     // Bytes that an empty buffer may keep allocated.
 constexpr std::uint64_t unknown_body_bytes = 16U << 10U; // First accounted for a body of unknown length.
 constexpr unsigned status_bad_request = 400;
 constexpr unsigned status_too_large = 413;
 constexpr unsigned status_header_too_large = 431;
 constexpr unsigned status_unavailable = 503;
-constexpr core::milliseconds body_timeout{30'000}; // For receiving a whole body.
-constexpr std::uint64_t body_memory_divisor = 3;   // Bodies may use a third of the memory.
-constexpr core::milliseconds memory_full_retry_after{500};
+constexpr std::uint64_t large_body_bytes = 1U
+                                           << 20U; // Above it, a body of unknown length grows by a quarter.
 
 /// Empties `text`. An assignment of an empty string would keep its memory.
 void free_memory(std::string& text) {
@@ -42,10 +43,17 @@
     return {text.data(), text.size()};
 }
 
+std::string address_of(const net::tcp::socket& socket) {
+    error_code ec;
+    const auto at = socket.remote_endpoint(ec);
+    return ec ? std::string() : at.address().to_string();
+}
+
 } // namespace
 
 caller_session::caller_session(caller_listener& owner, net::tcp::socket socket)
-    : m_owner(owner), m_socket(std::move(socket)), m_pipeline(max_pipelined_requests) {}
+    : m_owner(owner), m_socket(std::move(socket)), m_account(owner.m_memory),
+      m_holding(*m_account, address_of(m_socket)), m_pipeline(owner.m_settings.limits.requests_ahead) {}
 
 void caller_session::start() {
     error_code ec;
@@ -53,6 +61,10 @@
     m_socket.non_blocking(true, ec);
     start_message();
     start_idle_timer();
+    if (!charge()) {
+        close_for(caller_limit::total_memory);
+        return;
+    }
     wait_for_bytes();
 }
 
@@ -72,8 +84,12 @@
     if (m_closed) {
         return;
     }
-    m_closed = true;
     log_unanswered(reason);
+    close_without_lines();
+}
+
+void caller_session::close_without_lines() {
+    m_closed = true;
     cancel_timer();
     cancel_write_timer();
     auto exchanges = std::exchange(m_exchanges, {});
@@ -85,6 +101,8 @@
     }
     release_bytes(m_reserved_bytes);
     release_bytes(m_answer_bytes);
+    m_holding.close();
+    free_memory(m_unparsed);
     error_code ec;
     m_socket.close(ec);
     m_owner.m_sessions.erase(shared_from_this());
@@ -194,11 +212,24 @@
             return;
         }
     }
+    if (body_arriving()) {
+        const auto at = now();
+        // A body that waits for its 100 Continue has not been asked for yet.
+        const bool progressed = m_read_progress.end_window(m_owner.m_progress_rule, at);
+        if (progressed || m_continue_pending) {
+            start_timer(m_owner.m_progress_rule.window);
+            return;
+        }
+        m_owner.m_closings.note(caller_limit::rate);
+    }
     if (!in_flight()) {
         close("no complete request arrived in time");
         return;
     }
     m_reading_ended = true; // Complete requests precede the incomplete one and are still answered.
+    m_parser.reset();
+    release_bytes(m_reserved_bytes);
+    free_memory(m_unparsed);
     if (m_exchanges.empty()) {
         m_keep_alive = false;
     } else {
@@ -216,10 +247,13 @@
     m_parser->eager(true);
     m_message_started = false;
     m_header_parsed = false;
+    m_head_memory = 0;
 }
 
 void caller_session::wait_for_bytes() {
-    if (m_waiting_for_bytes || m_closed || m_lingering || m_unparsed.size() >= max_unparsed_bytes) {
+    // Nothing is read while the caller does not take its answers.
+    if (m_waiting_for_bytes || m_closed || m_lingering || m_write_timer || m_resume_posted ||
+        m_unparsed.size() >= max_unparsed()) {
         return;
     }
     m_waiting_for_bytes = true;
@@ -242,15 +276,20 @@
     }
 }
 
+std::size_t caller_session::max_unparsed() const {
+    return m_pipeline.full() ? max_unparsed_if_full : max_unparsed_bytes;
+}
+
 bool caller_session::receive() {
     auto& buffer = m_owner.m_read_buffer;
     buffer.resize(read_size);
     const auto self = shared_from_this();
-    for (int i = 0;
-         i < max_reads_per_event && !m_closed && !m_lingering && m_unparsed.size() < max_unparsed_bytes;
+    for (int i = 0; i < max_reads_per_event && !m_closed && !m_lingering && !m_write_timer &&
+                    !m_resume_posted && m_unparsed.size() < max_unparsed();
          ++i) {
         error_code ec;
-        const auto n = m_socket.read_some(net::asio::buffer(buffer), ec);
+        const auto most = m_pipeline.full() ? max_unparsed_if_full - m_unparsed.size() : read_size;
+        const auto n = m_socket.read_some(net::asio::buffer(buffer.data(), most), ec);
         if (ec == net::asio::error::would_block) {
             break;
         }
@@ -259,6 +298,9 @@
             return false;
         }
         if (!m_reading_ended) {
+            if (m_message_started) {
+                m_read_progress.add(now(), n);
+            }
             m_unparsed.append(buffer.data(), n);
             parse();
         }
@@ -278,10 +320,33 @@
 
 void caller_session::parse() {
     while (!m_reading_ended && !m_pipeline.full() && !m_unparsed.empty() && parse_next()) {
+        if (m_parsed_in_event > max_head_memory_per_event) {
+            resume_later();
+            break;
+        }
     }
     if (m_unparsed.empty() && m_unparsed.capacity() > max_idle_capacity) {
         free_memory(m_unparsed);
+    } else if (m_unparsed.capacity() > max_idle_capacity && m_unparsed.size() < m_unparsed.capacity() / 4) {
+        m_unparsed.shrink_to_fit();
+    }
+}
+
+void caller_session::resume_later() {
+    if (std::exchange(m_resume_posted, true)) {
+        return;
     }
+    net::asio::post(m_owner.m_context, [self = shared_from_this()] {
+        self->m_resume_posted = false;
+        if (!self->m_closed && !self->m_lingering) {
+            self->guard("further requests", [&] {
+                self->parse();
+                if (self->read_available()) {
+                    self->wait_for_bytes();
+                }
+            });
+        }
+    });
 }
 
 /// Returns false if more bytes are needed or the input was rejected.
@@ -289,11 +354,24 @@
     if (!m_message_started) {
         m_message_started = true;
         m_message_started_at = now();
+        m_read_progress.start(m_message_started_at);
         start_timer(limits().header_timeout);
     }
+    if (m_header_parsed && !reserve_chunks()) {
+        return false;
+    }
     error_code ec;
     const auto used = m_parser->put(net::asio::buffer(m_unparsed), ec);
+    if (!m_parser->is_header_done()) {
+        const auto end = m_unparsed.begin() + static_cast<std::ptrdiff_t>(used);
+        m_head_memory +=
+            header_memory(static_cast<std::uint64_t>(std::count(m_unparsed.begin(), end, '\n')), used);
+    }
     m_unparsed.erase(0, used);
+    // The header of a chunk, or the trailers, are parsed only when they are complete.
+    if (ec == http::error::need_more && m_header_parsed && m_unparsed.size() > limits().header_bytes) {
+        ec = http::error::header_limit;
+    }
     if (ec && ec != http::error::need_more) {
         reject(ec);
         return false;
@@ -314,13 +392,16 @@
 /// Returns false if the request was refused because of its header.
 bool caller_session::on_header() {
     m_header_parsed = true;
+    m_head_memory = memory_of(m_parser->get());
+    m_parsed_in_event += m_head_memory;
     if (m_parser->is_done()) {
         return true;
     }
     if (refuse_upload_for_stop()) {
         return false;
     }
-    start_timer(body_timeout);
+    m_read_progress.start(now());
+    start_timer(m_owner.m_progress_rule.window);
     const auto length = m_parser->content_length();
     if (!reserve_body(length ? *length : unknown_body_bytes)) {
         return false;
@@ -366,18 +447,29 @@
     if (size <= m_reserved_bytes) {
         return true;
     }
-    const auto max_body_bytes =
-        (static_cast<std::uint64_t>(m_owner.m_settings.resources.memory_mb) << 20U) / body_memory_divisor;
-    if (m_owner.m_body_bytes + (size - m_reserved_bytes) > max_body_bytes) {
-        m_parser.reset(); // Frees what was read of the body.
-        release_bytes(m_reserved_bytes);
-        answer_and_close(status_unavailable, memory_full_retry_after);
+    if (!m_owner.make_room_for_body(*this, size - m_reserved_bytes)) {
+        refuse_for_memory();
         return false;
     }
     m_owner.m_body_bytes += size - std::exchange(m_reserved_bytes, size);
     return true;
 }
 
+bool caller_session::reserve_chunks() {
+    auto& body = m_parser->get().body();
+    const auto needed = body.size() + m_unparsed.size();
+    if (!m_parser->chunked() || needed <= body.capacity()) {
+        return true;
+    }
+    const auto step = body.capacity() < large_body_bytes ? body.capacity() : body.capacity() / 4;
+    const auto next = std::max<std::size_t>(needed, body.capacity() + step);
+    if (!reserve_body(next)) {
+        return false;
+    }
+    body.reserve(next);
+    return true;
+}
+
 /// Sends 100 Continue only after all earlier answers: a caller would attribute it to an earlier request.
 void caller_session::send_pending_continue() {
     if (m_continue_pending && m_exchanges.empty() && !m_writing) {
@@ -394,6 +486,8 @@
     const auto status = ec == http::error::body_limit     ? status_too_large
                         : ec == http::error::header_limit ? status_header_too_large
                                                           : status_bad_request;
+    m_parser.reset();
+    release_bytes(m_reserved_bytes);
     answer_and_close(status, std::nullopt);
 }
 
@@ -401,6 +495,7 @@
     m_pipeline.add(idempotent);
     auto& e = m_exchanges.emplace_back();
     e.accounted_bytes = std::exchange(m_reserved_bytes, 0);
+    set_held(e, sizeof(exchange));
     return e;
 }
 
@@ -441,12 +536,29 @@
     } else if (e.request.method == "POST" || e.request.method == "PUT") {
         e.request.body = std::make_shared<const std::string>();
     }
+    const bool has_trailers = m_parser->chunked();
     e.request.headers = std::move(static_cast<http::fields&>(message));
+    if (has_trailers) {
+        m_head_memory = memory_of(e.request.headers);
+    }
+    hold_request(e);
     if (e.is_last) {
         m_reading_ended = true;
         free_memory(m_unparsed);
     }
     start_message();
+    if (!charge()) {
+        // Its place in the order of answers is kept; it never starts.
+        e.request = {};
+        e.answer.status = status_unavailable;
+        e.answer.retry_after = memory_full_retry_after;
+        e.is_last = true;
+        m_reading_ended = true;
+        free_memory(m_unparsed);
+        release_bytes(e.accounted_bytes);
+        set_held(e, sizeof(exchange));
+        m_owner.m_forwarding.metrics.refused();
+    }
 }
 
 // Forwarding
@@ -487,6 +599,7 @@
         e.accounted_bytes += e.answer.body.size();
         m_owner.m_body_bytes += e.answer.body.size();
     }
+    hold_answer(e);
     m_pipeline.answered(t);
     write_next();
 }
--- a/src/libbalsampost_entry/caller_session_write.cpp
+++ b/src/libbalsampost_entry/caller_session_write.cpp
@@ -113,6 +113,7 @@
     }
     auto e = std::move(m_exchanges.front());
     m_exchanges.pop_front();
+    m_queue_memory -= e.held_bytes;
     m_keep_alive = !e.is_last && (!stopping || !m_exchanges.empty() || (partly_read() && !m_stop_ended));
     if (!m_keep_alive) { // What arrives while the answer is written belongs to another connection.
         m_reading_ended = true;
@@ -150,7 +151,11 @@
         b += part;
         offset -= part;
     }
-    start_write_timer();
+    if (!m_write_timer) {
+        m_queued_bytes = net::queued_bytes(m_socket);
+        m_write_progress.start(now());
+        start_write_timer();
+    }
     m_socket.async_write_some(buffers, [self = shared_from_this(), written](error_code ec, std::size_t n) {
         if (self->m_closed) {
             return;
@@ -160,6 +165,8 @@
             return;
         }
         self->guard("rest of an answer", [&] {
+            self->m_queued_bytes += n;
+            self->note_taken_bytes(now());
             if (written + n < self->m_head.size() + self->m_body.size()) {
                 self->write_rest(written + n);
                 return;
@@ -170,10 +177,8 @@
     });
 }
 
-/// A caller that takes no bytes for the idle timeout would hold its answer's memory without end.
+/// A caller that takes too few bytes in the idle timeout would hold its answer's memory for very long.
 void caller_session::start_write_timer() {
-    cancel_write_timer();
-    m_queued_bytes = net::queued_bytes(m_socket);
     m_write_timer =
         m_owner.m_forwarding.timer_queue.at(now() + limits().idle_timeout, [weak = weak_from_this()] {
             if (const auto self = weak.lock()) {
@@ -186,9 +191,13 @@
 /// The system reports a socket as writable only when a large part of its buffer is free, so that a caller may
 /// have read much without a write.
 void caller_session::on_write_timeout() {
-    if (net::queued_bytes(m_socket) < m_queued_bytes) {
+    const auto at = now();
+    note_taken_bytes(at);
+    const core::memory::progress_rule rule{m_owner.m_progress_rule.bytes_per_second, limits().idle_timeout};
+    if (m_write_progress.rate(at) > 0 && m_write_progress.end_window(rule, at)) {
         start_write_timer();
     } else {
+        m_owner.m_closings.note(caller_limit::rate);
         close("the caller stopped reading");
     }
 }
@@ -233,6 +242,8 @@
         return;
     }
     m_lingering = true;
+    m_read_progress.start(now());
+    m_parser.reset();
     free_memory(m_unparsed);
     log_unanswered("the connection ends with an earlier answer");
     auto exchanges = std::exchange(m_exchanges, {});
@@ -242,6 +253,7 @@
         }
         release_bytes(e.accounted_bytes);
     }
+    m_queue_memory = 0;
     start_timer(linger_timeout);
     m_socket.cancel(ec); // Cancels a pending read wait.
     drain();
--- a/src/libbalsampost_entry/entry.cpp
+++ b/src/libbalsampost_entry/entry.cpp
@@ -22,10 +22,9 @@
 // Additional wait of the instance with the least capacity, so that the others try first.
 constexpr core::milliseconds max_capacity_delay{400};
 
-// A single answer of a server, and all answers being read, may use the memory divided by these.
+// A single answer of a server may use the memory divided by this.
 constexpr std::uint64_t body_memory_divisor = 8;
 constexpr std::uint64_t max_answer_bytes = 64U << 20U;
-constexpr std::uint64_t all_bodies_memory_divisor = 4;
 
 // The answer to an order has a short body, if any.
 constexpr std::uint64_t order_body_bytes = 64U << 10U;
@@ -64,7 +63,7 @@
     client_limits out;
     const auto memory = static_cast<std::uint64_t>(s.resources.memory_mb) << 20U;
     out.body_bytes = std::min(max_answer_bytes, memory / body_memory_divisor);
-    out.all_body_bytes = memory / all_bodies_memory_divisor;
+    out.all_body_bytes = memory_limits_of(s).total; // The account of memory decides.
     return out;
 }
 
@@ -92,24 +91,30 @@
 } // namespace
 
 entry::entry(settings s, const platform_factory& make_platform)
-    : m_settings(std::move(s)), m_started(now()), m_timers(m_context),
+    : m_settings(std::move(s)), m_started(now()),
+      m_memory(std::make_shared<core::memory::account>(memory_limits_of(m_settings))), m_timers(m_context),
       m_room(m_settings.resources.descriptors), m_client(m_context, m_timers, client_limits_of(m_settings)),
       m_order_client(m_context, m_timers, limits_of_bodies(order_body_bytes, all_order_bodies_bytes)),
       m_store_client(m_context, m_timers, limits_of_bodies(store_body_bytes, all_store_bodies_bytes)),
       m_platform(make_platform(m_store_client, m_timers, m_settings)), m_state(m_settings),
-      m_callers(m_context, {m_state, m_client, m_timers, *m_platform, m_metrics}, m_settings, &m_room),
+      m_callers(m_context, {m_state, m_client, m_timers, *m_platform, m_metrics}, m_settings, &m_room,
+                m_memory),
       m_readiness_server(m_context, m_room, core::descriptor_use::readiness, "readiness",
                          [this] {
                              return page{ready() ? status_ok : status_unavailable, "text/plain", ""};
                          }),
       m_metrics_server(m_context, m_room, core::descriptor_use::metrics, "metrics",
                        [this] {
+                           m_metrics.memory_held(m_memory->used());
                            return page{status_ok, "text/plain; version=0.0.4", m_metrics.serialize()};
                        }),
       m_peers(m_context, {[this](const auto& r, const auto& from) { report_received(r, from); },
                           [this](const auto& u, const auto& from) { update_received(u, from); }}),
       m_signals(m_context, SIGTERM, SIGINT, SIGHUP),
       m_incarnation_id(incarnation_id(m_settings.instance.name, m_started)) {
+    m_client.count_in(m_memory, [this](std::uint64_t bytes, std::uint64_t larger_than) {
+        return m_callers.make_room(bytes, larger_than);
+    });
     m_client.limit_connections([this] { return m_room.has_room(core::descriptor_use::servers); });
     m_room.count(core::descriptor_use::servers, [this] { return m_client.connection_count(); });
     const auto control_has_room = [this] { return m_room.has_room(core::descriptor_use::control); };
--- a/src/libbalsampost_entry/entry_metrics.cpp
+++ b/src/libbalsampost_entry/entry_metrics.cpp
@@ -72,11 +72,18 @@
       m_unknown_config_values(counters(*m_registry, "balsampost_config_values_unknown_total",
                                        "Values of routes that are not known; the strictest ones are used")
                                   .Add({})),
+      m_memory_held(gauge(*m_registry, "balsampost_memory_held_bytes",
+                          "Memory held for callers and servers, as counted by the account")),
       m_latency(prometheus::BuildHistogram()
                     .Name("balsampost_answer_seconds")
                     .Help("From the request to the answer")
                     .Register(*m_registry)
                     .Add({}, latency_bounds)) {
+    auto& limited = counters(*m_registry, "balsampost_callers_limited_total",
+                             "Connections closed and requests refused for the limits of callers");
+    for (std::size_t i = 0; i < m_limited.size(); ++i) {
+        m_limited[i] = &limited.Add({{"cause", to_string(static_cast<caller_limit>(i))}});
+    }
     auto& attempts =
         counters(*m_registry, "balsampost_attempts_failed_total", "Attempts without a server's answer");
     for (std::size_t i = 0; i < m_attempts.size(); ++i) {
--- a/src/libbalsampost_entry/http_client.cpp
+++ b/src/libbalsampost_entry/http_client.cpp
@@ -1,6 +1,8 @@
 // Connections of the HTTP client and their reuse.
 #include "balsampost/entry/http_client.h"
 
+#include "balsampost/entry/caller_memory.h"
+
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
@@ -19,6 +21,7 @@
 namespace {
 
 constexpr std::size_t read_size = 16U << 10U;
+constexpr std::uint64_t connection_memory = 4U << 10U; // The connection, its request's head and the parser.
 constexpr std::uint32_t response_header_bytes = 32U << 10U;
 // Limits of the bytes of a response besides its body: headers and chunk framing, where a chunk may hold one
 // byte.
@@ -47,7 +50,12 @@
 class http_connection : public std::enable_shared_from_this<http_connection> {
 public:
     http_connection(http_client& owner, core::endpoint to, bool has_room)
-        : m_owner(owner), m_to(std::move(to)), m_socket(owner.m_context), m_has_room(has_room) {}
+        : m_owner(owner), m_to(std::move(to)), m_socket(owner.m_context), m_account(owner.m_memory),
+          m_has_room(has_room) {
+        if (m_account) {
+            m_holding.emplace(*m_account);
+        }
+    }
 
     void begin(exchange_request request, exchange_handler done) {
         m_request = std::move(request);
@@ -87,6 +95,7 @@
         m_open = false;
         cancel_timer();
         release_body();
+        m_holding.reset();
         error_code ec;
         if (reset) {
             m_socket.set_option(net::asio::socket_base::linger(true, 0), ec);
@@ -109,6 +118,7 @@
     }
 
     void start_response() {
+        m_response_head_memory = 0;
         m_parser = std::make_unique<response_parser>();
         m_parser->header_limit(response_header_bytes);
         m_parser->body_limit(m_owner.m_limits.body_bytes);
@@ -122,7 +132,24 @@
         const auto size = m_parser->get().body().size();
         m_owner.m_body_bytes += size - m_accounted_bytes;
         m_accounted_bytes = size;
-        return m_owner.m_body_bytes <= m_owner.m_limits.all_body_bytes;
+        return m_owner.m_body_bytes <= m_owner.m_limits.all_body_bytes && charge();
+    }
+
+    /// Counts what the connection holds. Returns false if there is no memory for it; the connection may be
+    /// closed then.
+    bool charge() {
+        if (!m_holding) {
+            return true;
+        }
+        const auto held = connection_memory + m_buffer.capacity() + m_response_head_memory +
+                          (m_parser ? m_parser->get().body().capacity() : 0);
+        const auto granted = core::memory::charge_result::granted;
+        if (m_holding->set(held) == granted) {
+            return true;
+        }
+        const auto self = shared_from_this(); // Room is made by closing callers, maybe this request's.
+        return m_owner.m_make_room(held - m_holding->bytes(), held) && m_holding &&
+               m_holding->set(held) == granted;
     }
 
     void release_body() { m_owner.m_body_bytes -= std::exchange(m_accounted_bytes, 0); }
@@ -280,6 +307,11 @@
         error_code ec;
         while (m_buffer.size() > 0 && !m_parser->is_done()) {
             const auto used = m_parser->put(m_buffer.data(), ec);
+            if (m_holding && !m_parser->is_header_done()) {
+                const auto* first = static_cast<const char*>(m_buffer.data().data());
+                m_response_head_memory +=
+                    header_memory(static_cast<std::uint64_t>(std::count(first, first + used, '\n')), used);
+            }
             m_buffer.consume(used);
             if (ec == http::error::need_more) {
                 break;
@@ -302,7 +334,11 @@
                 break;
             }
         }
-        if (!account_body()) {
+        const bool has_memory = account_body();
+        if (m_closed) {
+            return;
+        }
+        if (!has_memory) {
             fail_malformed("the responses being read exceed the memory limit");
             return;
         }
@@ -344,6 +380,8 @@
         result.reply.status = message.result_int();
         result.reply.body = std::move(message.body());
         result.reply.headers = std::move(static_cast<http::fields&>(message));
+        m_response_head_memory = 0;
+        charge(); // The answer's holder counts it from here on.
         result.reused = m_completed > 0;
         ++m_completed;
         m_busy = false;
@@ -419,6 +457,8 @@
     http_client& m_owner;
     core::endpoint m_to;
     net::tcp::socket m_socket;
+    std::shared_ptr<core::memory::account> m_account; // Keeps it alive for m_holding.
+    std::optional<core::memory::holding> m_holding;
     net::beast::flat_buffer m_buffer;
     std::unique_ptr<response_parser> m_parser;
     exchange_request m_request;
@@ -427,8 +467,9 @@
     core::time_point m_reusable_until = core::never;
     std::size_t m_offset = 0;
     std::uint64_t m_accounted_bytes = 0; // Share of the client's body bytes.
-    std::uint64_t m_response_bytes = 0;  // Bytes of the current response.
-    int m_interim_count = 0;             // Interim responses to the current request.
+    std::uint64_t m_response_head_memory = 0;
+    std::uint64_t m_response_bytes = 0; // Bytes of the current response.
+    int m_interim_count = 0;            // Interim responses to the current request.
     std::uint32_t m_completed = 0;
     bool m_open = false;
     bool m_busy = false;
--- a/src/libbalsampost_entry/page_server.cpp
+++ b/src/libbalsampost_entry/page_server.cpp
@@ -17,6 +17,8 @@
 namespace {
 
 constexpr std::uint32_t max_request_bytes = 8U << 10U;
+// Of the bytes that wait to be parsed: a chunk's header or trailers wait until they are complete.
+constexpr std::size_t max_buffer_bytes = 2U * max_request_bytes;
 // For one request, its answer, and the wait for the next one: probes and metrics are fetched every few
 // seconds.
 constexpr core::milliseconds session_timeout{10'000};
@@ -30,6 +32,8 @@
 
     void read() {
         start_timer();
+        m_buffer.shrink_to_fit();
+        m_response = {};
         m_parser = std::make_unique<http::request_parser<http::string_body>>();
         m_parser->header_limit(max_request_bytes);
         m_parser->body_limit(max_request_bytes);
@@ -98,7 +102,7 @@
     page_server& m_owner;
     net::tcp::socket m_socket;
     net::asio::steady_timer m_timer;
-    net::beast::flat_buffer m_buffer;
+    net::beast::flat_buffer m_buffer{max_buffer_bytes};
     std::unique_ptr<http::request_parser<http::string_body>> m_parser;
     http::response<http::string_body> m_response;
     bool m_closed = false;
--- a/src/libbalsampost_entry/settings.cpp
+++ b/src/libbalsampost_entry/settings.cpp
@@ -53,6 +53,15 @@
     {"descriptors", false, &resource_settings::descriptors, 64, max_descriptors},
 }};
 
+const std::array<key_rule<limit_settings>, 6> limit_keys{{
+    {"memory_percent", false, &limit_settings::memory_percent, 5, 80},
+    {"connection_percent", false, &limit_settings::connection_percent, 1, 80},
+    {"address_percent", false, &limit_settings::address_percent, 1, 80},
+    {"min_rate_bytes_per_s", false, &limit_settings::min_rate, 0, 1'000'000},
+    {"rate_window_ms", false, &limit_settings::rate_window, 1'000, 600'000},
+    {"requests_ahead", false, &limit_settings::requests_ahead, 1, 1'000},
+}};
+
 const std::array<key_rule<log_settings>, 1> log_keys{{
     {"level", false, &log_settings::level},
 }};
@@ -138,13 +147,14 @@
     void (*bind)(const core::ini_section&, settings&, std::vector<core::ini_error>&);
 };
 
-const std::array<section_rule, 7> section_rules{{
+const std::array<section_rule, 8> section_rules{{
     {"instance", true, [](const auto& s, auto& o, auto& f) { bind(s, instance_keys, o.instance, f); }},
     {"listen", true,
      [](const auto& s, auto& o, auto& f) { bind(with_addresses(s), listen_keys, o.listen, f); }},
     {"store", true, [](const auto& s, auto& o, auto& f) { bind(s, store_keys, o.store, f); }},
     {"bounds", false, [](const auto& s, auto& o, auto& f) { bind(s, bound_keys, o.bounds, f); }},
     {"resources", false, [](const auto& s, auto& o, auto& f) { bind_resources(s, o, f); }},
+    {"limits", false, [](const auto& s, auto& o, auto& f) { bind(s, limit_keys, o.limits, f); }},
     {"log", false, [](const auto& s, auto& o, auto& f) { bind(s, log_keys, o.log, f); }},
     {"regions", false, bind_regions},
 }};
@@ -205,6 +215,13 @@
         faults.push_back(
             {file, "resources", "link_mbps", "'" + out.resources.link_mbps + "' is not a number above 0"});
     }
+    const auto& limits = out.limits;
+    if (limits.connection_percent > limits.address_percent) {
+        faults.push_back({file, "limits", "connection_percent", "above address_percent"});
+    }
+    if (limits.address_percent > limits.memory_percent) {
+        faults.push_back({file, "limits", "address_percent", "above memory_percent"});
+    }
     if (!faults.empty()) {
         return tl::unexpected(std::move(faults));
     }
--- a/src/libbalsampost_telemetry/events.cpp
+++ b/src/libbalsampost_telemetry/events.cpp
@@ -24,6 +24,8 @@
     {event::accept_paused, severity::warning, "accept_paused",
      "a listener accepts no connection until descriptors are free"},
     {event::accept_resumed, severity::info, "accept_resumed", "a listener accepts connections again"},
+    {event::callers_limited, severity::warning, "callers_limited",
+     "callers' connections were closed, or requests refused, for the limits of memory or progress"},
     {event::config_in_force, severity::info, "config_in_force",
      "this instance applies a new version of the configuration objects"},
     {event::config_unusable, severity::error, "config_unusable",
