--- a/src/libbalsampost_entry/caller_session.cpp
+++ b/src/libbalsampost_entry/caller_session.cpp
@@ -368,10 +368,6 @@
             header_memory(static_cast<std::uint64_t>(std::count(m_unparsed.begin(), end, '\n')), used);
     }
     m_unparsed.erase(0, used);
-    // The header of a chunk, or the trailers, are parsed only when they are complete.
-    if (ec == http::error::need_more && m_header_parsed && m_unparsed.size() > limits().header_bytes) {
-        ec = http::error::header_limit;
-    }
     if (ec && ec != http::error::need_more) {
         reject(ec);
         return false;
@@ -382,6 +378,11 @@
     if (m_header_parsed && !reserve_body(m_parser->get().body().capacity())) {
         return false;
     }
+    // The header of a chunk, or the trailers, are parsed only when they are complete.
+    if (ec == http::error::need_more && m_header_parsed && m_unparsed.size() > limits().header_bytes) {
+        reject(http::error::header_limit);
+        return false;
+    }
     if (m_parser->is_done()) {
         on_request();
         return true;
