core: the walk with owner regions fails if limits move no owners

Change: a step counts only if servers inside hold keys and running, listed servers outside hold none; the bound is 20,000.

--- a/src/libbalsampost_core/key_ownership_simulation.h
+++ b/src/libbalsampost_core/key_ownership_simulation.h
@@ -143,7 +143,7 @@
     }
 
     bool ever_held() const { return m_ever_held; }
-    /// Steps at which all held keys were in the owner regions, which allowed some servers and not others.
+    /// Steps at which servers inside the owner regions held keys, and running servers outside held none.
     std::size_t steps_inside() const { return m_steps_inside; }
 
 private:
@@ -317,20 +317,25 @@
         }
     }
 
-    /// Counts the steps at which a limit is kept, so that a test sees that limits take effect.
+    bool inside(const incarnation& which) const {
+        const auto listed = m_listed.find(which.id);
+        return listed != m_listed.end() &&
+               m_owner_regions.allows(m_regions.at(listed->second.failure_domain));
+    }
+
+    /// Counts the steps at which servers inside hold keys and servers outside, though listed, hold none.
     void count_steps_inside() {
-        bool any = false;
-        bool inside = !m_owner_regions.unlimited();
+        bool any_inside = false;
+        bool any_outside = false;
         for (const auto& [which, h] : m_running_servers) {
-            const auto listed = m_listed.find(which.id);
             for (const auto& x : h.holds) {
-                any = any || m_now < x.until;
-                inside = inside && (m_now >= x.until ||
-                                    (listed != m_listed.end() &&
-                                     m_owner_regions.allows(m_regions.at(listed->second.failure_domain))));
+                (inside(which) ? any_inside : any_outside) |= m_now < x.until;
             }
         }
-        m_steps_inside += any && inside ? 1 : 0;
+        const bool listed_outside = std::any_of(m_listed.begin(), m_listed.end(), [this](const auto& entry) {
+            return !inside(entry.second.self) && m_running_servers.contains(entry.second.self);
+        });
+        m_steps_inside += any_inside && !any_outside && listed_outside ? 1 : 0;
     }
 
     /// Starts requests on keys that are held.
--- a/src/libbalsampost_core/residency/owner_regions_walk_test.cpp
+++ b/src/libbalsampost_core/residency/owner_regions_walk_test.cpp
@@ -24,7 +24,9 @@
             steps_inside += w.steps_inside();
         }
         std::cout << " [steps with a limit that is kept: " << steps_inside << "] ";
-        CPPUNIT_ASSERT_MESSAGE("limits move owners", steps_inside > 2'000);
+        // 28,653 of these seeds' steps; 11,615 if owners are planned without the limit, by chance and by
+        // losses.
+        CPPUNIT_ASSERT_MESSAGE("limits move owners", steps_inside > 20'000);
     }
 
     void each_disabled_rule_leads_to_a_second_owner() {
