--- a/src/include/balsampost/core/server_selection.h
+++ b/src/include/balsampost/core/server_selection.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "balsampost/core/backend_directory.h"
+#include "balsampost/core/evacuation/evacuated_domains.h"
 #include "balsampost/core/manifest.h"
 #include "balsampost/core/server_notices.h"
 #include "balsampost/core/warmup/cold_servers.h"
@@ -89,6 +90,8 @@
     milliseconds retry_after{0};
     /// There is no server because those that could serve asked for a pause; it ends after `retry_after`.
     bool paused = false;
+    /// There is no server because those that could serve are in evacuated failure domains.
+    bool evacuated = false;
     /// There is no server because those that could serve are cold and this instance has no share of their
     /// rate, or none left; one can be sent a request after `retry_after`.
     bool cold = false;
@@ -104,17 +107,28 @@
                 std::shared_ptr<const server_notices> notices = std::make_shared<const server_notices>(),
                 std::shared_ptr<warmup::cold_servers> cold = std::make_shared<warmup::cold_servers>());
 
+    /// Sets the evacuated failure domains, which all pools of an instance share. Without a call there are
+    /// none.
+    void set_evacuations(std::shared_ptr<const evacuation::evacuated_domains> domains) {
+        m_evacuations = std::move(domains);
+    }
+
     /// Replaces the list of servers. Estimates are kept for incarnations that remain in it.
     /// `max_connections`: connections that one server accepts from all `instances` together.
     void update(const std::vector<const backend*>& servers, std::uint32_t max_connections,
                 std::uint32_t instances);
 
-    /// Chooses among all servers that neither leave nor pause and that are not backed off from. A cold one
-    /// needs a share with a request left, which `attempt_started` takes.
+    /// Chooses among all servers that neither leave nor pause, that are not backed off from, and whose
+    /// failure domain is not evacuated. A cold one needs a share with a request left, which `attempt_started`
+    /// takes.
     selection choose(const selection_request& request, time_point now, std::mt19937_64& random) const;
     /// Selects `server`, the owner of the request's key, if it is expected to finish in time.
     selection check(const std::string& server, const selection_request& request, time_point now) const;
 
+    /// Whether a request that was selected for the server earlier may still be sent to it. `owner`: the
+    /// server was selected as the owner of the request's key.
+    bool may_send(const std::string& server, bool owner, time_point now) const;
+
     void attempt_started(const std::string& server, time_point now);
     /// `took`: time from sending the request to the end of the attempt.
     void attempt_ended(const std::string& server, attempt_result result, milliseconds took,
@@ -140,6 +154,9 @@
     /// Returns the samples of all servers collected since the last call.
     std::vector<service_time_sample> take_samples();
     bool backing_off(const std::string& server, time_point now) const;
+    /// Whether servers are listed and all of those that do not leave are in evacuated failure domains that
+    /// get no request, not even for the keys of an owner.
+    bool all_evacuated(time_point now) const;
 
 private:
     struct state {
@@ -174,6 +191,8 @@
     bool leaves(const state& s) const;
     /// Earliest time at which the server may have reported that it leaves.
     time_point leaving_since(const state& s) const;
+    /// Whether the server leaves and even the owner of a key may get no more requests.
+    bool owner_period_ended(const state& s, time_point now) const;
     milliseconds time_until_capacity(const state& s, double expected, double max_expected) const;
 
     selection_settings m_settings;
@@ -181,6 +200,8 @@
     std::map<std::string, std::string> m_regions; // Region by failure domain.
     std::shared_ptr<const server_notices> m_notices;
     std::shared_ptr<warmup::cold_servers> m_cold;
+    std::shared_ptr<const evacuation::evacuated_domains> m_evacuations =
+        std::make_shared<const evacuation::evacuated_domains>();
     std::map<std::string, state> m_servers; // By id.
     std::uint32_t m_connection_share = 8;
     mutable double m_mean_service_ms = 0; // Cached; 0: must be recomputed.
--- a/src/include/balsampost/entry/peer_exchange.h
+++ b/src/include/balsampost/entry/peer_exchange.h
@@ -42,12 +42,14 @@
     std::uint32_t members = 0;
     /// The sender has recently lost its relay.
     bool lost_relay = false;
+    /// Evacuations that the sender knows and the receiver did not in its last update.
+    std::vector<feed_segment> feed;
     /// When the report was sent, in nanoseconds of the sender's monotonic clock; 0: not stated. The shares in
     /// the answer refer to it.
     std::int64_t sent_ns = 0;
 
     MSGPACK_DEFINE(instance, keys, table, revisions, failure_domain, capacity_shortage, members, lost_relay,
-                   sent_ns);
+                   feed, sent_ns);
 };
 
 /// The receiver's shares of the rates of cold servers; see `core/warmup/share_ledger.h`.
@@ -108,13 +110,14 @@
 
     /// Throws `boost::system::system_error` if the address cannot be bound; may be called again then.
     void start(const core::endpoint& at);
-    void send(const core::endpoint& to, const peer_report& report);
-    void send(const core::endpoint& to, const peer_update& update);
+    /// Sends a datagram; returns its size, or 0 if the socket took none.
+    std::size_t send(const core::endpoint& to, const peer_report& report);
+    std::size_t send(const core::endpoint& to, const peer_update& update);
 
 private:
     void receive();
     void received(std::size_t size);
-    void send_bytes(const core::endpoint& to, const char* data, std::size_t size);
+    std::size_t send_bytes(const core::endpoint& to, const char* data, std::size_t size);
 
     net::asio::ip::udp::socket m_socket;
     handlers m_handlers;
--- a/src/libbalsampost_core/server_selection.cpp
+++ b/src/libbalsampost_core/server_selection.cpp
@@ -28,6 +28,25 @@
 constexpr milliseconds min_retry_after{60};
 constexpr milliseconds max_retry_after{600};
 
+/// The refusal of a request whose servers are all evacuated. `returns`: when one may be used again, if that
+/// is known.
+selection evacuated_selection(time_point returns, time_point now) {
+    selection out;
+    out.retry_after = returns > now && returns != time_point::max()
+                          ? std::max(min_retry_after, std::chrono::ceil<milliseconds>(returns - now))
+                          : max_retry_after;
+    out.evacuated = true;
+    return out;
+}
+
+/// No server, because those that could serve are cold; `next`: when one may be sent a request.
+selection cold_selection(time_point next, time_point now) {
+    selection out;
+    out.retry_after = std::chrono::ceil<milliseconds>(next - now);
+    out.cold = true;
+    return out;
+}
+
 } // namespace
 
 const char* to_string(server_locality locality) {
@@ -145,7 +164,8 @@
     return estimated_load(s, now) + 1 <= slots * m_settings.max_load_per_slot &&
            s.in_flight < m_connection_share &&
            s.in_flight < m_notices->max_in_flight(s.info.self, s.info.slots, now) &&
-           s.in_flight < m_cold->max_in_flight(s.info.self, s.info.slots, now);
+           s.in_flight < m_cold->max_in_flight(s.info.self, s.info.slots, now) &&
+           s.in_flight < m_evacuations->max_in_flight(s.info.failure_domain, s.info.slots, now);
 }
 
 bool server_pool::leaves(const state& s) const {
@@ -160,6 +180,17 @@
     return std::min(s.info.draining_since, by_own_word);
 }
 
+bool server_pool::owner_period_ended(const state& s, time_point now) const {
+    return leaves(s) && now >= after(leaving_since(s), m_settings.draining_owner_period);
+}
+
+bool server_pool::may_send(const std::string& server, bool owner, time_point now) const {
+    const auto found = m_servers.find(server);
+    return found != m_servers.end() &&
+           !(owner ? owner_period_ended(found->second, now) : leaves(found->second)) &&
+           m_evacuations->may_receive(found->second.info.failure_domain, owner, now);
+}
+
 milliseconds server_pool::time_until_capacity(const state& s, double expected, double max_expected) const {
     const double slots = std::max<std::uint32_t>(s.info.slots, 1);
     const milliseconds retry{
@@ -177,9 +208,18 @@
     bool only_paused = true;
     auto cold_until = time_point::max(); // Earliest request to a server that could serve but for its warm-up.
     bool only_cold = true;
+    bool only_evacuated = true;       // No server that stays is outside the evacuated failure domains.
+    auto returns = time_point::max(); // First end of an evacuation that is known.
+    bool any_evacuated = false;
     // Jitter keeps instances with equal estimates from all choosing the same server.
     std::uniform_real_distribution<double> jitter(0.95, 1.05);
     for (const auto& [id, s] : m_servers) {
+        if (!leaves(s) && !m_evacuations->may_receive(s.info.failure_domain, false, now)) {
+            any_evacuated = true;
+            returns = std::min(returns, m_evacuations->returns_at(s.info.failure_domain));
+            continue;
+        }
+        only_evacuated = only_evacuated && leaves(s);
         if (leaves(s) || now < s.backoff_until ||
             std::find(request.excluded_servers.begin(), request.excluded_servers.end(), id) !=
                 request.excluded_servers.end()) {
@@ -208,11 +248,14 @@
             best_expected = expected;
         }
     }
+    if (any_evacuated && only_evacuated) {
+        return evacuated_selection(returns, now);
+    }
     if (best == nullptr && only_paused && pause_ends != time_point::max()) {
         return {"", milliseconds{0}, std::chrono::ceil<milliseconds>(pause_ends - now), true};
     }
     if (best == nullptr && only_cold && cold_until != time_point::max()) {
-        return {"", milliseconds{0}, std::chrono::ceil<milliseconds>(cold_until - now), false, true};
+        return cold_selection(cold_until, now);
     }
     if (best == nullptr) {
         return {"", milliseconds{0}, soonest};
@@ -224,18 +267,19 @@
                              time_point now) const {
     const auto found = m_servers.find(server);
     if (found == m_servers.end() || now < found->second.backoff_until ||
-        (leaves(found->second) &&
-         now >= after(leaving_since(found->second), m_settings.draining_owner_period))) {
+        owner_period_ended(found->second, now)) {
         return {"", milliseconds{0}, min_retry_after};
     }
     const auto& s = found->second;
+    if (!m_evacuations->may_receive(s.info.failure_domain, true, now)) {
+        return evacuated_selection(time_point::max(), now);
+    }
     if (m_notices->paused(s.info.self, now)) {
         return {"", milliseconds{0},
                 std::chrono::ceil<milliseconds>(m_notices->resumes_at(s.info.self) - now), true};
     }
     if (!m_cold->may_send(s.info.self, now)) {
-        const auto next = m_cold->next_request_at(s.info.self, now);
-        return {"", milliseconds{0}, std::chrono::ceil<milliseconds>(next - now), false, true};
+        return cold_selection(m_cold->next_request_at(s.info.self, now), now);
     }
     const double expected = expected_ms(s, now, false);
     const double max_expected = max_expected_ms(s, request, now);
@@ -348,6 +392,20 @@
     return found == m_servers.end() ? server_locality::other_region : found->second.locality;
 }
 
+bool server_pool::all_evacuated(time_point now) const {
+    bool any = false;
+    for (const auto& [id, s] : m_servers) {
+        if (leaves(s)) {
+            continue;
+        }
+        if (m_evacuations->may_receive(s.info.failure_domain, true, now)) {
+            return false;
+        }
+        any = true;
+    }
+    return any;
+}
+
 bool server_pool::backing_off(const std::string& server, time_point now) const {
     const auto found = m_servers.find(server);
     return found != m_servers.end() && now < found->second.backoff_until;
--- a/src/libbalsampost_entry/forwarding.cpp
+++ b/src/libbalsampost_entry/forwarding.cpp
@@ -188,6 +188,10 @@
         return;
     }
     core::selection choice;
+    if (m_key && service->pool.all_evacuated(at)) {
+        refuse_for_evacuation(owner_retry_after); // No server can become the owner, so none is waited for.
+        return;
+    }
     if (m_key) {
         const auto* run = service->table ? service->table->find(*m_key) : nullptr;
         if (run == nullptr || run->owner.empty() || run->moving() || run->fence <= m_stale_fence) {
@@ -226,6 +230,10 @@
                    choice.retry_after, min_pause_jitter);
             return;
         }
+        if (choice.evacuated) {
+            refuse_for_evacuation(choice.retry_after);
+            return;
+        }
         refuse("no server can finish before the deadline", choice.retry_after);
         return;
     }
@@ -253,6 +261,10 @@
     // same request was sent there before, or has no id.
     request.new_connection = !m_route->idempotent() || id().empty() || (m_key && m_delivered_attempts > 0);
     request.deadline = m_deadline + orphaned_exchange_time;
+    request.may_send = [&state = m_context.state, name = m_service, server, owner = m_key.has_value()] {
+        const auto* s = state.find(name);
+        return s != nullptr && s->pool.may_send(server, owner, now());
+    };
     if (m_context.client.connections_to(backend.address) >= service->pool.connection_share()) {
         // Idle connections count towards the server's limit: close them to make place for a new one.
         if (request.new_connection) {
@@ -317,6 +329,10 @@
         }
         return;
     }
+    if (result.withdrawn) { // Says nothing about the server either.
+        withdrawn(server);
+        return;
+    }
     const auto at = now();
     const auto outcome = classify(result);
     const auto elapsed = std::chrono::duration_cast<core::milliseconds>(at - sent);
@@ -404,6 +420,22 @@
                                                                : "the answer was lost or damaged");
 }
 
+void forwarding::withdrawn(const core::backend& server) {
+    if (auto* service = m_context.state.find(m_service)) {
+        service->pool.attempt_abandoned(server.self.id);
+    }
+    if (m_finished || m_caller_disconnected) {
+        return;
+    }
+    telemetry::log(event::attempt_failed,
+                   {{"request", std::string(id())}, {"server", server.self.id}, {"outcome", "withdrawn"}});
+    if (m_key) {
+        wait_for_owner(0);
+    } else {
+        try_next_server();
+    }
+}
+
 bool forwarding::may_retry() const {
     return m_delivered_attempts < m_route->max_attempts && now() + min_time_left < m_deadline;
 }
@@ -532,6 +564,11 @@
     finish(std::move(answer));
 }
 
+void forwarding::refuse_for_evacuation(core::milliseconds retry_after) {
+    m_context.metrics.refused_for_evacuation();
+    refuse("all servers for the request are in evacuated failure domains", retry_after);
+}
+
 void forwarding::fail(unsigned status, const char* reason) {
     telemetry::log(event::request_failed, {{"request", std::string(id())},
                                            {"service", m_service},
--- a/src/libbalsampost_entry/settings.cpp
+++ b/src/libbalsampost_entry/settings.cpp
@@ -31,7 +31,8 @@
     {"address", true, &store_settings::address},
 }};
 
-const std::array<key_rule<bound_settings>, 8> bound_keys{{
+const std::array<key_rule<bound_settings>, 9> bound_keys{{
+    {"evacuation_time_ms", false, &bound_settings::evacuation_time, 0, 600'000},
     {"stop_time_ms", false, &bound_settings::stop_time, 100, 600'000},
     {"backend_beat_ms", false, &bound_settings::backend_heartbeat, 10, 600'000},
     {"longest_hold_ms", false, &bound_settings::max_hold, 500, 600'000},
@@ -169,6 +170,11 @@
     return 1 - std::min(cpu, link);
 }
 
+double resource_settings::link_bytes_per_s() const {
+    constexpr double bytes_per_megabit = 1e6 / 8;
+    return positive(link_mbps).value_or(ample_link_mbps) * bytes_per_megabit;
+}
+
 tl::expected<settings, std::vector<core::ini_error>> parse_settings(const std::string& text,
                                                                     const std::string& file) {
     const auto parsed = core::parse_ini(text, file);
