entry: the time in which evacuated keys leave in batches follows the bound

Cause: a constant of 1.8 s would be most of the owners' time under a bound of 2.5 s. Change: half of 75% of the bound.

--- a/src/include/balsampost/core/evacuation/key_evacuation.h
+++ b/src/include/balsampost/core/evacuation/key_evacuation.h
@@ -15,9 +15,9 @@
     /// Ranges that move at once. Each needs a release and a grant; with the bound of 64 orders in flight,
     /// half of it is left for the renewal of grants.
     std::size_t max_moving = 32;
-    /// After this time the rest moves at once: with less than half of 75% of the default bound left, waiting
-    /// for slow releases would leave keys without a server.
-    milliseconds batch_time{1'800};
+    /// After this time the rest moves at once: waiting for slow releases would leave keys without a server at
+    /// the end of the owners' time. Half of that time for a bound of 5 s.
+    milliseconds batch_time{1'875};
 };
 
 /// Whether a server is in an evacuated failure domain.
--- a/src/libbalsampost_entry/entry.cpp
+++ b/src/libbalsampost_entry/entry.cpp
@@ -47,10 +47,17 @@
     return out;
 }
 
+// Part of the time of evacuated owners in which keys leave them in batches; then the rest moves at once.
+constexpr int evacuation_batch_divisor = 2;
+
 core::coordinator_settings coordinator_settings_of(const settings& s) {
     core::coordinator_settings out;
     out.max_hold = s.bounds.max_hold;
     out.hold = std::min(out.hold, s.bounds.max_hold);
+    if (s.bounds.evacuation_time > core::milliseconds{0}) {
+        out.key_evacuation.batch_time =
+            core::evacuation::owner_period_of(s.bounds.evacuation_time) / evacuation_batch_divisor;
+    }
     // Staggers the instances' attempts to take a free tenure, so that they do not all write at once.
     out.free_tenure_delay = core::milliseconds(static_cast<std::int64_t>(core::hash_of(s.instance.name) %
                                                                          takeover_spread.count())) +
