core: the property tests of evacuated domains fail when a property does

Cause: rc::check only returns whether the property holds; without may_send's check the test printed the failure and passed. Change: its result is asserted. Result: the test fails without may_send's check and passes with it.

--- a/src/libbalsampost_core/evacuation/evacuated_domains_test.cpp
+++ b/src/libbalsampost_core/evacuation/evacuated_domains_test.cpp
@@ -154,35 +154,35 @@
     }
 
     void lists_and_changes_lead_to_the_same_set() {
-        rc::check("a list read after any changes leads to what the changes lead to",
-                  [](const std::vector<std::pair<std::uint8_t, bool>>& steps) {
-                      evacuated_domains by_changes;
-                      evacuated_domains by_list;
-                      std::set<std::string> current;
-                      auto now = start;
-                      for (const auto& [number, evacuate] : steps) {
-                          const auto name = "d" + std::to_string(number % 6);
-                          now += milliseconds{100};
-                          if (evacuate) {
-                              current.insert(name);
-                              by_changes.request(name, now);
-                          } else {
-                              current.erase(name);
-                              by_changes.withdraw(name, now, 0.5);
-                          }
-                          if (number % 3 == 0) {
-                              by_list.replace({current.begin(), current.end()}, now, now, 0.5);
-                          }
-                      }
-                      by_list.replace({current.begin(), current.end()}, now, now, 0.5);
-                      std::set<std::string> result;
-                      for (const auto& [domain, since] : by_changes.evacuated()) {
-                          RC_ASSERT(by_list.contains(domain));
-                          result.insert(domain);
-                      }
-                      RC_ASSERT(result == current);
-                      RC_ASSERT(by_list.evacuated().size() == current.size());
-                  });
+        CPPUNIT_ASSERT(rc::check("a list read after any changes leads to what the changes lead to",
+                                 [](const std::vector<std::pair<std::uint8_t, bool>>& steps) {
+                                     evacuated_domains by_changes;
+                                     evacuated_domains by_list;
+                                     std::set<std::string> current;
+                                     auto now = start;
+                                     for (const auto& [number, evacuate] : steps) {
+                                         const auto name = "d" + std::to_string(number % 6);
+                                         now += milliseconds{100};
+                                         if (evacuate) {
+                                             current.insert(name);
+                                             by_changes.request(name, now);
+                                         } else {
+                                             current.erase(name);
+                                             by_changes.withdraw(name, now, 0.5);
+                                         }
+                                         if (number % 3 == 0) {
+                                             by_list.replace({current.begin(), current.end()}, now, now, 0.5);
+                                         }
+                                     }
+                                     by_list.replace({current.begin(), current.end()}, now, now, 0.5);
+                                     std::set<std::string> result;
+                                     for (const auto& [domain, since] : by_changes.evacuated()) {
+                                         RC_ASSERT(by_list.contains(domain));
+                                         result.insert(domain);
+                                     }
+                                     RC_ASSERT(result == current);
+                                     RC_ASSERT(by_list.evacuated().size() == current.size());
+                                 }));
     }
 
     void instances_return_at_different_times() {
@@ -248,34 +248,35 @@
     }
 
     void no_server_gets_a_request_that_the_rules_forbid() {
-        rc::check("random evacuations, withdrawals and lists",
-                  [](const std::vector<std::pair<std::uint8_t, std::uint16_t>>& steps) {
-                      pool_fixture f;
-                      std::map<std::string, time_point> model; // Evacuated domains by the rules.
-                      auto now = start;
-                      for (const auto& [what, wait] : steps) {
-                          now += milliseconds{wait % 2'000};
-                          const std::string domain(1, static_cast<char>('a' + what % 3));
-                          const auto not_before = now - milliseconds{wait % 700};
-                          if (what % 7 < 4) {
-                              f.domains->request(domain, not_before);
-                              const auto known = model.emplace(domain, not_before).first;
-                              known->second = std::min(known->second, not_before);
-                          } else {
-                              f.domains->withdraw(domain, now, 0.3);
-                              model.erase(domain);
-                          }
-                          const auto chosen = f.choose(now).server;
-                          RC_ASSERT(chosen.empty() || !model.contains(chosen.substr(0, 1)));
-                          RC_ASSERT(!chosen.empty() || model.size() == 3 || !f.domains->unrestricted());
-                          for (const auto& [name, since] : model) {
-                              const bool served = !f.pool.check(name + "1", {}, now).server.empty();
-                              RC_ASSERT(served == (now - since < milliseconds{3'750}));
-                              RC_ASSERT(f.pool.may_send(name + "1", true, now) == served);
-                              RC_ASSERT(!f.pool.may_send(name + "1", false, now));
+        CPPUNIT_ASSERT(
+            rc::check("random evacuations, withdrawals and lists",
+                      [](const std::vector<std::pair<std::uint8_t, std::uint16_t>>& steps) {
+                          pool_fixture f;
+                          std::map<std::string, time_point> model; // Evacuated domains by the rules.
+                          auto now = start;
+                          for (const auto& [what, wait] : steps) {
+                              now += milliseconds{wait % 2'000};
+                              const std::string domain(1, static_cast<char>('a' + what % 3));
+                              const auto not_before = now - milliseconds{wait % 700};
+                              if (what % 7 < 4) {
+                                  f.domains->request(domain, not_before);
+                                  const auto known = model.emplace(domain, not_before).first;
+                                  known->second = std::min(known->second, not_before);
+                              } else {
+                                  f.domains->withdraw(domain, now, 0.3);
+                                  model.erase(domain);
+                              }
+                              const auto chosen = f.choose(now).server;
+                              RC_ASSERT(chosen.empty() || !model.contains(chosen.substr(0, 1)));
+                              RC_ASSERT(!chosen.empty() || model.size() == 3 || !f.domains->unrestricted());
+                              for (const auto& [name, since] : model) {
+                                  const bool served = !f.pool.check(name + "1", {}, now).server.empty();
+                                  RC_ASSERT(served == (now - since < milliseconds{3'750}));
+                                  RC_ASSERT(f.pool.may_send(name + "1", true, now) == served);
+                                  RC_ASSERT(!f.pool.may_send(name + "1", false, now));
+                              }
                           }
-                      }
-                  });
+                      }));
     }
 };
 
