core, entry: selection by cost, off unless [selection] by_cost names it

Cause: requests that look alike cause unequal work; the selection counted them.

Change: core::cost learns costs by route, method, body length and key in tables of fixed size; server_pool uses them for the expected completion if by_cost is set. Long requests leave half of a server's slots to short ones unless the wait elsewhere is longer; many instances with the same reports choose among samples. The planner's load of keys does not include costs yet.

--- a/src/include/balsampost/core/server_selection.h
+++ b/src/include/balsampost/core/server_selection.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "balsampost/core/backend_directory.h"
+#include "balsampost/core/cost/server_work.h"
 #include "balsampost/core/load/speed_estimate.h"
 #include "balsampost/core/manifest.h"
 #include "balsampost/core/server_notices.h"
@@ -72,6 +73,8 @@
     /// Share of the requests for which reported slowdowns are not considered, so that a server with a short
     /// slowdown keeps that part of its requests and its recovery is noticed.
     double slowdown_ignored_share = 0.125;
+    /// Whether servers are chosen by the estimated costs of requests instead of their number.
+    bool by_cost = false;
     /// How long a server still gets requests for keys that it owns while they are being moved, from the
     /// earliest time at which it may have reported that it is leaving.
     milliseconds draining_owner_period{1'500};
@@ -86,6 +89,8 @@
     std::uint64_t body_bytes = 0;
     /// Ids of servers that were already tried.
     std::vector<std::string> excluded_servers;
+    /// Used for selection by cost only.
+    cost::request_class cost_class = {};
 };
 
 struct selection {
@@ -117,13 +122,15 @@
     /// Selects `server`, the owner of the request's key, if it is expected to finish in time.
     selection check(const std::string& server, const selection_request& request, time_point now) const;
 
-    void attempt_started(const std::string& server, time_point now);
+    /// Returns what was estimated of the attempt; pass it on when the attempt ends.
+    cost::attempt attempt_started(const std::string& server, time_point now,
+                                  const cost::request_class& cost_class = {});
     /// `took`: time from sending the request to the end of the attempt.
     void attempt_ended(const std::string& server, attempt_result result, milliseconds took,
-                       std::optional<load_report> report, time_point now);
+                       std::optional<load_report> report, time_point now, const cost::attempt& attempt = {});
     /// Ends an attempt without a result, for example because the caller disconnected; the estimates do not
     /// change.
-    void attempt_abandoned(const std::string& server);
+    void attempt_abandoned(const std::string& server, const cost::attempt& attempt = {});
 
     std::uint32_t in_flight(const std::string& server) const;
     /// Maximum number of connections from this instance to one server: its share of the server's limit.
@@ -154,6 +161,7 @@
         double other_instances_load = 0; // Requests of other instances at the server, as of `reported_at`.
         time_point reported_at = never;
         double service_ms = 0;            // Smoothed time of a request without queuing; 0: no estimate yet.
+        cost::server_work work;           // By cost; used if `by_cost` is set.
         load::speed_estimate speed;       // Of passing slowdowns; `service_ms` is net of them.
         double failure_rate = 0;          // Moving average over attempts.
         std::uint32_t unqueued_count = 0; // Answers without queuing since the last `take_samples`.
@@ -166,14 +174,24 @@
         time_point last_attempt_ended = never; // The estimates decay from then on.
     };
 
+    /// Chooses among a random sample of this share of the servers.
+    selection choose_among(const selection_request& request, time_point now, std::mt19937_64& random,
+                           double share) const;
+    /// 1 unless servers are chosen by cost and many instances are likely to have the same reports. Such
+    /// instances would all choose the server that was idle when it reported.
+    double candidate_share(time_point now) const;
     double service_ms_of(const state& s, time_point now) const;
     double estimate_weight(const state& s, time_point now) const;
     double estimated_load(const state& s, time_point now) const;
     /// `penalize_failures`: whether failures make the server less attractive. False for the owner of a key,
     /// which has no alternative.
     /// `considers_slowdown`: whether passing slowdowns of the server are included.
-    double expected_ms(const state& s, time_point now, bool penalize_failures,
+    /// `estimated_cost_ms`: cost of the request, or 0 for selection by the number of requests.
+    double expected_ms(const state& s, time_point now, bool penalize_failures, double estimated_cost_ms = 0,
                        bool considers_slowdown = true) const;
+    /// The estimated cost of the request, or 0 if servers are not chosen by cost.
+    double estimated_cost_ms(const cost::request_class& request, time_point now) const;
+    double wait_by_cost_ms(const state& s, time_point now) const;
     /// Whether the request considers slowdowns; uses `random` only if any server has reported one.
     bool considers_slowdown(std::mt19937_64& random) const;
     double cost_ms(const state& s, double expected, const selection_request& request) const;
@@ -192,6 +210,8 @@
     std::shared_ptr<const server_notices> m_notices;
     std::map<std::string, state> m_servers; // By id.
     std::uint32_t m_connection_share = 8;
+    std::uint32_t m_instances = 1;
+    cost::cost_estimates m_costs;
     bool m_slowdown_reported = false;     // By any server of the service.
     mutable double m_mean_service_ms = 0; // Cached; 0: must be recomputed.
 };
--- a/src/include/balsampost/entry/forwarding.h
+++ b/src/include/balsampost/entry/forwarding.h
@@ -103,8 +103,10 @@
     const core::route* m_route = nullptr;
     std::string m_service;
     std::optional<core::shard_key> m_key;
-    core::time_point m_deadline{};        // The caller gets an answer by then.
-    core::time_point m_target_deadline{}; // End of the route's target latency.
+    core::cost::request_class m_cost_class; // Set when the route and the key are known.
+    core::cost::attempt m_attempt;          // Of the open exchange.
+    core::time_point m_deadline{};          // The caller gets an answer by then.
+    core::time_point m_target_deadline{};   // End of the route's target latency.
     std::optional<timers::id> m_timer;
     std::optional<timers::id> m_owner_timer;
     http_client::handle m_exchange;
--- a/src/include/balsampost/entry/settings.h
+++ b/src/include/balsampost/entry/settings.h
@@ -70,6 +70,11 @@
     std::string level = "info";
 };
 
+struct selection_section {
+    /// Servers are chosen by the estimated costs of requests instead of their number.
+    bool by_cost = false;
+};
+
 struct settings {
     instance_settings instance;
     listen_settings listen;
@@ -77,6 +82,7 @@
     bound_settings bounds;
     resource_settings resources;
     log_settings log;
+    selection_section selection;
     std::map<std::string, std::string> regions; ///< Region of each failure domain.
 };
 
--- a/src/libbalsampost_core/load/keyed_speed_test.cpp
+++ b/src/libbalsampost_core/load/keyed_speed_test.cpp
@@ -1,4 +1,5 @@
 // Plays a keyed service on shared machines in virtual time: what the use of the reported speed changes.
+#include "../cost/selection_load.h"
 #include "../keyed_load.h"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -10,6 +11,7 @@
 class keyed_speed_test : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(keyed_speed_test);
     CPPUNIT_TEST(the_speed_neither_moves_keys_nor_refuses_callers);
+    CPPUNIT_TEST(the_speed_helps_the_choice_of_a_server);
     CPPUNIT_TEST_SUITE_END();
 
     /// Guards against keys that move, and callers that are refused, because a server is slow for 400 ms; and
@@ -39,6 +41,22 @@
             CPPUNIT_ASSERT(used.late_moves < 0.7 * dropped.late_moves);
         }
     }
+
+    /// Guards against requests without a key that go to slow servers while others are free.
+    void the_speed_helps_the_choice_of_a_server() {
+        cost::simulation::selection_case c;
+        c.name = "shared machines";
+        c.instances = 2;
+        c.load = 0.6;
+        c.spell = milliseconds{400};
+        const auto used = cost::simulation::play(c, cost::simulation::policy::by_count);
+        c.reads_speed = false;
+        const auto ignored = cost::simulation::play(c, cost::simulation::policy::by_count);
+        std::cout << " [in target " << used.in_target_share() << " against " << ignored.in_target_share()
+                  << ", p99 " << used.p99() << " against " << ignored.p99() << "]";
+        CPPUNIT_ASSERT(used.in_target_share() >= ignored.in_target_share());
+        CPPUNIT_ASSERT(used.p99() < ignored.p99());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(keyed_speed_test);
--- a/src/libbalsampost_core/server_selection.cpp
+++ b/src/libbalsampost_core/server_selection.cpp
@@ -2,6 +2,7 @@
 #include "balsampost/core/server_selection.h"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <utility>
 
@@ -25,6 +26,12 @@
 /// Service time of a server that is warming up, relative to a warm one.
 constexpr double warmup_factor = 2;
 constexpr double region_round_trip_ms = 16;
+/// Sample of the nearest servers among which a choice by cost is made if instances have the same reports.
+constexpr double min_candidates = 4;
+/// Up to this many instances, choices are not sampled.
+constexpr std::uint32_t few_instances = 8;
+/// Reports up to this age, from at least half of the servers, mean that other instances have the same ones.
+constexpr milliseconds shared_report_age{500};
 constexpr milliseconds min_retry_after{60};
 constexpr milliseconds max_retry_after{600};
 
@@ -61,6 +68,7 @@
         next.emplace(b->self.id, std::move(s));
     }
     m_servers = std::move(next);
+    m_instances = std::max<std::uint32_t>(instances, 1);
     m_connection_share = std::max<std::uint32_t>(2, max_connections / std::max<std::uint32_t>(instances, 1));
     m_mean_service_ms = 0;
 }
@@ -111,20 +119,47 @@
 }
 
 double server_pool::expected_ms(const state& s, time_point now, bool penalize_failures,
-                                bool considers_slowdown) const {
-    double service = service_ms_of(s, now);
-    if (now < s.info.warmup_end()) {
-        service *= warmup_factor;
-    }
+                                double estimated_cost_ms, bool considers_slowdown) const {
+    const double warmup = now < s.info.warmup_end() ? warmup_factor : 1;
+    const double service = service_ms_of(s, now) * warmup;
     const double slots = std::max<std::uint32_t>(s.info.slots, 1);
     const double ahead = std::max(0.0, estimated_load(s, now) + 1 - slots);
     const double travel = s.locality == server_locality::other_region ? region_round_trip_ms : 0;
     const double failures = penalize_failures ? s.failure_rate * estimate_weight(s, now) : 0;
-    const double work = service * (1 + ahead / slots);
+    const double work = estimated_cost_ms > 0
+                            ? wait_by_cost_ms(s, now) + estimated_cost_ms * s.work.factor(now) * warmup
+                            : service * (1 + ahead / slots);
     return ((considers_slowdown ? s.speed.elapsed_ms(work, now) : work) + travel) *
            (1 + failure_penalty * failures * failures);
 }
 
+double server_pool::estimated_cost_ms(const cost::request_class& request, time_point now) const {
+    return m_settings.by_cost ? m_costs.of(request, now).ms : 0;
+}
+
+double server_pool::wait_by_cost_ms(const state& s, time_point now) const {
+    return s.work.wait_ms(s.in_flight, estimated_load(s, now) - s.in_flight,
+                          std::max<std::uint32_t>(s.info.slots, 1), m_costs.mean_ms(), now);
+}
+
+double server_pool::candidate_share(time_point now) const {
+    if (!m_settings.by_cost || m_instances <= few_instances) {
+        return 1;
+    }
+    std::array<std::uint32_t, 3> by_locality{};
+    std::size_t reported = 0;
+    for (const auto& [id, s] : m_servers) {
+        ++by_locality[static_cast<std::size_t>(s.locality)];
+        reported += s.reported_at != never && now - s.reported_at <= shared_report_age ? 1 : 0;
+    }
+    if (2 * reported < m_servers.size()) {
+        return 1;
+    }
+    const auto nearest =
+        std::find_if(by_locality.begin(), by_locality.end(), [](auto count) { return count > 0; });
+    return nearest == by_locality.end() ? 1 : std::min(1.0, min_candidates / *nearest);
+}
+
 double server_pool::cost_ms(const state& s, double expected, const selection_request& request) const {
     switch (s.locality) {
     case server_locality::same_domain:
@@ -140,7 +175,8 @@
 }
 
 double server_pool::max_expected_ms(const state& s, const selection_request& request, time_point now) const {
-    const double service = service_ms_of(s, now);
+    const double cost = estimated_cost_ms(request.cost_class, now);
+    const double service = cost > 0 ? cost * s.work.factor(now) : service_ms_of(s, now);
     const auto target = static_cast<double>(std::max(request.time_to_target, milliseconds{1}).count()) *
                         m_settings.max_target_fraction;
     return std::min(static_cast<double>(request.time_to_deadline.count()) * m_settings.max_deadline_fraction,
@@ -175,6 +211,13 @@
 
 selection server_pool::choose(const selection_request& request, time_point now,
                               std::mt19937_64& random) const {
+    const double share = candidate_share(now);
+    auto out = choose_among(request, now, random, share);
+    return out.server.empty() && share < 1 ? choose_among(request, now, random, 1) : out;
+}
+
+selection server_pool::choose_among(const selection_request& request, time_point now, std::mt19937_64& random,
+                                    double share) const {
     const state* best = nullptr;
     double best_cost = 0;
     double best_expected = 0;
@@ -184,7 +227,11 @@
     // Jitter keeps instances with equal estimates from all choosing the same server.
     std::uniform_real_distribution<double> jitter(0.95, 1.05);
     const bool slowdowns = considers_slowdown(random);
+    const double cost_estimate = estimated_cost_ms(request.cost_class, now);
     for (const auto& [id, s] : m_servers) {
+        if (share < 1 && std::uniform_real_distribution<double>(0, 1)(random) >= share) {
+            continue;
+        }
         if (leaves(s) || now < s.backoff_until ||
             std::find(request.excluded_servers.begin(), request.excluded_servers.end(), id) !=
                 request.excluded_servers.end()) {
@@ -195,13 +242,14 @@
             continue;
         }
         only_paused = false;
-        const double expected = expected_ms(s, now, true, slowdowns);
+        const double expected = expected_ms(s, now, true, cost_estimate, slowdowns);
         const double max_expected = max_expected_ms(s, request, now);
         if (!has_capacity(s, now) || expected > max_expected) {
             soonest = std::min(soonest, time_until_capacity(s, expected, max_expected));
             continue;
         }
-        const double cost = cost_ms(s, expected * jitter(random), request);
+        const double cost = cost_ms(s, expected * jitter(random), request) +
+                            s.work.crowding_ms(cost_estimate, m_costs.mean_ms(), s.info.slots);
         if (best == nullptr || cost < best_cost) {
             best = &s;
             best_cost = cost;
@@ -230,7 +278,7 @@
         return {"", milliseconds{0},
                 std::chrono::ceil<milliseconds>(m_notices->resumes_at(s.info.self) - now), true};
     }
-    const double expected = expected_ms(s, now, false);
+    const double expected = expected_ms(s, now, false, estimated_cost_ms(request.cost_class, now));
     const double max_expected = max_expected_ms(s, request, now);
     if (!has_capacity(s, now) || expected > max_expected) {
         return {"", milliseconds{0}, time_until_capacity(s, expected, max_expected)};
@@ -238,27 +286,38 @@
     return {server, milliseconds{static_cast<std::int64_t>(expected)}, milliseconds{0}};
 }
 
-void server_pool::attempt_started(const std::string& server, time_point) {
+cost::attempt server_pool::attempt_started(const std::string& server, time_point now,
+                                           const cost::request_class& cost_class) {
     const auto found = m_servers.find(server);
-    if (found != m_servers.end()) {
-        ++found->second.in_flight;
+    if (found == m_servers.end()) {
+        return {};
     }
+    auto& s = found->second;
+    const double cost = estimated_cost_ms(cost_class, now);
+    const cost::attempt attempt{cost_class, cost, m_settings.by_cost ? wait_by_cost_ms(s, now) : 0,
+                                cost::server_work::is_long(cost, m_costs.mean_ms())};
+    s.work.started(attempt);
+    ++s.in_flight;
+    return attempt;
 }
 
-void server_pool::attempt_abandoned(const std::string& server) {
+void server_pool::attempt_abandoned(const std::string& server, const cost::attempt& attempt) {
     const auto found = m_servers.find(server);
     if (found != m_servers.end() && found->second.in_flight > 0) {
+        found->second.work.ended(attempt);
         --found->second.in_flight;
     }
 }
 
 void server_pool::attempt_ended(const std::string& server, attempt_result result, milliseconds took,
-                                std::optional<load_report> report, time_point now) {
+                                std::optional<load_report> report, time_point now,
+                                const cost::attempt& attempt) {
     const auto found = m_servers.find(server);
     if (found == m_servers.end()) {
         return;
     }
     auto& s = found->second;
+    s.work.ended(attempt);
     if (s.in_flight > 0) {
         --s.in_flight;
     }
@@ -292,6 +351,9 @@
             m_slowdown_reported = true;
         }
     }
+    if (result == attempt_result::answered && attempt.ms > 0) {
+        m_costs.learn(attempt.request, s.work.answered(attempt, s.speed.work_ms(took, now), now), now);
+    }
     if (result == attempt_result::answered) {
         // Takes out the queuing delay, on the assumption that the requests ahead were spread over all slots.
         const double slots = std::max<std::uint32_t>(s.info.slots, 1);
--- a/src/libbalsampost_entry/entry_test.cpp
+++ b/src/libbalsampost_entry/entry_test.cpp
@@ -272,6 +272,8 @@
             "[listen]\ncallers = 10.0.0.1:1\nreadiness = 10.0.0.1:2\npeers = 10.0.0.1:3\n"
             "metrics = 10.0.0.1:4\n[store]\naddress = 10.0.0.2:1\n[regions]\nd = r\n";
         CPPUNIT_ASSERT(parse_settings(valid, "f"));
+        CPPUNIT_ASSERT(!parse_settings(valid, "f")->selection.by_cost);
+        CPPUNIT_ASSERT(parse_settings(valid + "[selection]\nby_cost = true\n", "f")->selection.by_cost);
         struct row {
             const char* added;
             const char* expected;
@@ -282,6 +284,8 @@
             {"[resources]\nmemory_mb = x\n", "f: [resources] memory_mb"},
             {"[resources]\ncpu_share = 0\n", "f: [resources] cpu_share"},
             {"[bounds]\nlongest_hold_ms = 1\n", "f: [bounds] longest_hold_ms"},
+            {"[selection]\nby_cost = perhaps\n", "f: [selection] by_cost"},
+            {"[selection]\nby_price = true\n", "f: [selection] by_price"},
         };
         for (const auto& r : rows) {
             const auto parsed = parse_settings(valid + r.added, "f");
--- a/src/libbalsampost_entry/forwarding.cpp
+++ b/src/libbalsampost_entry/forwarding.cpp
@@ -103,7 +103,7 @@
             http_client::abort(m_exchange);
             m_exchange_open = false;
             if (auto* service = m_context.state.find(m_service)) {
-                service->pool.attempt_abandoned(m_server);
+                service->pool.attempt_abandoned(m_server, m_attempt);
             }
         }
         // What the step was about to record is unknown, so any attempt may have run the request.
@@ -150,6 +150,8 @@
         }
         service->keys.count(*m_key);
     }
+    m_cost_class = core::cost::class_of(m_route->name, m_request.method,
+                                        m_request.body ? m_request.body->size() : 0, m_key);
     m_timer = m_context.timer_queue.at(m_deadline, [weak = weak_from_this()] {
         if (const auto self = weak.lock()) {
             self->m_timer.reset();
@@ -167,7 +169,7 @@
         return std::max(std::chrono::duration_cast<core::milliseconds>(until - at), core::milliseconds{0});
     };
     return {left(m_target_deadline), left(m_deadline), m_request.body ? m_request.body->size() : 0,
-            m_tried_servers};
+            m_tried_servers, m_cost_class};
 }
 
 void forwarding::try_next_server() {
@@ -257,7 +259,7 @@
     m_exchange_sent_at = sent;
     m_exchange_open = true;
     const auto attempt = ++m_attempts_started;
-    service->pool.attempt_started(server, sent);
+    m_attempt = service->pool.attempt_started(server, sent, m_cost_class);
     const auto self = shared_from_this();
     const auto handle = m_context.client.start(
         backend.address, std::move(request), [self, backend, sent](exchange_result& result) {
@@ -304,7 +306,7 @@
     m_exchange.reset();
     if (result.no_room) { // Says nothing about the server.
         if (auto* service = m_context.state.find(m_service)) {
-            service->pool.attempt_abandoned(server.self.id);
+            service->pool.attempt_abandoned(server.self.id, m_attempt);
         }
         if (!m_finished && !m_caller_disconnected) {
             refuse("this instance has no descriptor for a connection to the server", owner_retry_after);
@@ -326,7 +328,7 @@
             (load->slowdown_unusable || service->pool.reports_slowdown(server.self.id))) {
             m_context.metrics.slowdown_unusable();
         }
-        service->pool.attempt_ended(server.self.id, outcome, elapsed, load, at);
+        service->pool.attempt_ended(server.self.id, outcome, elapsed, load, at, m_attempt);
     }
     if (outcome != attempt_result::answered) {
         m_context.metrics.attempt_failed(outcome);
@@ -459,7 +461,7 @@
         http_client::abort(m_exchange);
         m_exchange_open = false;
         if (auto* service = m_context.state.find(m_service)) {
-            service->pool.attempt_abandoned(m_server);
+            service->pool.attempt_abandoned(m_server, m_attempt);
         }
     }
     finish({});
@@ -496,7 +498,8 @@
         if (auto* service = m_context.state.find(m_service)) {
             service->pool.attempt_ended(
                 m_server, attempt_result::silent,
-                std::chrono::duration_cast<core::milliseconds>(at - m_exchange_sent_at), std::nullopt, at);
+                std::chrono::duration_cast<core::milliseconds>(at - m_exchange_sent_at), std::nullopt, at,
+                m_attempt);
         }
     }
     if (m_may_have_run) {
--- a/src/libbalsampost_entry/settings.cpp
+++ b/src/libbalsampost_entry/settings.cpp
@@ -57,6 +57,10 @@
     {"level", false, &log_settings::level},
 }};
 
+const std::array<key_rule<selection_section>, 1> selection_keys{{
+    {"by_cost", false, &selection_section::by_cost},
+}};
+
 constexpr std::array<const char*, 4> level_names{"debug", "info", "warning", "error"};
 
 void bind_regions(const core::ini_section& s, settings& out, std::vector<core::ini_error>&) {
@@ -138,7 +142,7 @@
     void (*bind)(const core::ini_section&, settings&, std::vector<core::ini_error>&);
 };
 
-const std::array<section_rule, 7> section_rules{{
+const std::array<section_rule, 8> section_rules{{
     {"instance", true, [](const auto& s, auto& o, auto& f) { bind(s, instance_keys, o.instance, f); }},
     {"listen", true,
      [](const auto& s, auto& o, auto& f) { bind(with_addresses(s), listen_keys, o.listen, f); }},
@@ -146,6 +150,7 @@
     {"bounds", false, [](const auto& s, auto& o, auto& f) { bind(s, bound_keys, o.bounds, f); }},
     {"resources", false, [](const auto& s, auto& o, auto& f) { bind_resources(s, o, f); }},
     {"log", false, [](const auto& s, auto& o, auto& f) { bind(s, log_keys, o.log, f); }},
+    {"selection", false, [](const auto& s, auto& o, auto& f) { bind(s, selection_keys, o.selection, f); }},
     {"regions", false, bind_regions},
 }};
 
--- a/src/libbalsampost_entry/traffic_state.cpp
+++ b/src/libbalsampost_entry/traffic_state.cpp
@@ -16,9 +16,10 @@
 constexpr int draining_owner_percent = 75;
 constexpr int percent = 100;
 
-core::selection_settings selection_settings_of(const bound_settings& bounds) {
+core::selection_settings selection_settings_of(const settings& s) {
     core::selection_settings out;
-    out.draining_owner_period = bounds.leaving_time * draining_owner_percent / percent;
+    out.by_cost = s.selection.by_cost;
+    out.draining_owner_period = s.bounds.leaving_time * draining_owner_percent / percent;
     return out;
 }
 
@@ -36,19 +37,18 @@
             const core::repeat_limits limits{m_settings.bounds.repeat_permille / 1000.0,
                                              static_cast<double>(m_settings.bounds.repeat_slack),
                                              m_settings.bounds.repeat_window};
-            found =
-                m_services
-                    .emplace(name, service_state{core::server_pool(selection_settings_of(m_settings.bounds),
-                                                                   m_settings.instance.failure_domain,
-                                                                   m_settings.regions, m_notices),
-                                                 core::repeat_budget(limits),
-                                                 {},
-                                                 {},
-                                                 nullptr,
-                                                 service.keyed,
-                                                 {},
-                                                 core::never})
-                    .first;
+            found = m_services
+                        .emplace(name, service_state{core::server_pool(selection_settings_of(m_settings),
+                                                                       m_settings.instance.failure_domain,
+                                                                       m_settings.regions, m_notices),
+                                                     core::repeat_budget(limits),
+                                                     {},
+                                                     {},
+                                                     nullptr,
+                                                     service.keyed,
+                                                     {},
+                                                     core::never})
+                        .first;
         }
         found->second.keyed = service.keyed;
     }
