entry: [selection] by_cost takes true and false

Switches of the settings' parser are written yes and no, so by_cost = true was refused (entry_test/settings_faults_name_section_and_key failed). The section translates true and false; yes and no work too. entry_test's own suite: 10 cases pass; the other suites of the program were not run after this change.

--- a/src/libbalsampost_entry/settings.cpp
+++ b/src/libbalsampost_entry/settings.cpp
@@ -104,6 +104,14 @@
     bind(std::move(s), resource_keys, out.resources, faults);
 }
 
+/// Binds the section; its switches are written as "true" and "false".
+void bind_selection(core::ini_section s, settings& out, std::vector<core::ini_error>& faults) {
+    for (auto& [key, text] : s.entries) {
+        text = text == "true" ? "yes" : text == "false" ? "no" : text;
+    }
+    bind(std::move(s), selection_keys, out.selection, faults);
+}
+
 /// Gives an endpoint without an address, as ":9464", the address of the callers' listener.
 core::ini_section with_addresses(core::ini_section s) {
     const auto found = std::find_if(s.entries.begin(), s.entries.end(),
@@ -150,7 +158,7 @@
     {"bounds", false, [](const auto& s, auto& o, auto& f) { bind(s, bound_keys, o.bounds, f); }},
     {"resources", false, [](const auto& s, auto& o, auto& f) { bind_resources(s, o, f); }},
     {"log", false, [](const auto& s, auto& o, auto& f) { bind(s, log_keys, o.log, f); }},
-    {"selection", false, [](const auto& s, auto& o, auto& f) { bind(s, selection_keys, o.selection, f); }},
+    {"selection", false, [](const auto& s, auto& o, auto& f) { bind_selection(s, o, f); }},
     {"regions", false, bind_regions},
 }};
 
