--- a/src/include/balsampost/core/key_coordinator.h
+++ b/src/include/balsampost/core/key_coordinator.h
@@ -403,7 +403,7 @@
     /// Listed servers that say in their answers that they leave, as instances report.
     std::set<incarnation> m_leaving;
     std::set<std::string> m_evacuated_domains;
-    time_point m_evacuated_since = never; // When the latest of them was added.
+    time_point m_evacuated_since = never;   // When the latest of them was added.
     residency::owner_placement m_placement; // Updated before each plan.
     std::map<incarnation, time_point> m_cold_until;
     service_time_estimates m_service_times;
--- a/src/include/balsampost/entry/settings.h
+++ b/src/include/balsampost/entry/settings.h
@@ -88,6 +88,11 @@
     std::string level = "info";
 };
 
+struct selection_section {
+    /// Servers are chosen by the estimated costs of requests instead of their number.
+    bool by_cost = false;
+};
+
 struct settings {
     instance_settings instance;
     listen_settings listen;
@@ -96,6 +101,7 @@
     resource_settings resources;
     limit_settings limits;
     log_settings log;
+    selection_section selection;
     std::map<std::string, std::string> regions; ///< Region of each failure domain.
 };
 
--- a/src/libbalsampost_entry/settings.cpp
+++ b/src/libbalsampost_entry/settings.cpp
@@ -67,6 +67,10 @@
     {"level", false, &log_settings::level},
 }};
 
+const std::array<key_rule<selection_section>, 1> selection_keys{{
+    {"by_cost", false, &selection_section::by_cost},
+}};
+
 constexpr std::array<const char*, 4> level_names{"debug", "info", "warning", "error"};
 
 void bind_regions(const core::ini_section& s, settings& out, std::vector<core::ini_error>&) {
@@ -110,6 +114,14 @@
     bind(std::move(s), resource_keys, out.resources, faults);
 }
 
+/// Binds the section; its switches are written as "true" and "false".
+void bind_selection(core::ini_section s, settings& out, std::vector<core::ini_error>& faults) {
+    for (auto& [key, text] : s.entries) {
+        text = text == "true" ? "yes" : text == "false" ? "no" : text;
+    }
+    bind(std::move(s), selection_keys, out.selection, faults);
+}
+
 /// Gives an endpoint without an address, as ":9464", the address of the callers' listener.
 core::ini_section with_addresses(core::ini_section s) {
     const auto found = std::find_if(s.entries.begin(), s.entries.end(),
@@ -157,6 +169,7 @@
     {"resources", false, [](const auto& s, auto& o, auto& f) { bind_resources(s, o, f); }},
     {"limits", false, [](const auto& s, auto& o, auto& f) { bind(s, limit_keys, o.limits, f); }},
     {"log", false, [](const auto& s, auto& o, auto& f) { bind(s, log_keys, o.log, f); }},
+    {"selection", false, [](const auto& s, auto& o, auto& f) { bind_selection(s, o, f); }},
     {"regions", false, bind_regions},
 }};
 
