--- a/src/libbalsampost_core/cost/selection_load.h
+++ b/src/libbalsampost_core/cost/selection_load.h
@@ -179,7 +179,7 @@
             return best;
         }
         default: {
-            selection_request r{m_case.target, m_case.deadline, 0, {}, {kind + 1, std::nullopt}};
+            selection_request r{m_case.target, m_case.deadline, 0, {}, {}, {kind + 1, std::nullopt}};
             const auto choice = pool.choose(r, m_now, m_choice_random);
             return choice.server.empty() ? m_servers.size()
                                          : static_cast<std::size_t>(std::stoi(choice.server.substr(1)));
--- a/src/libbalsampost_entry/settings.cpp
+++ b/src/libbalsampost_entry/settings.cpp
@@ -160,7 +160,7 @@
     void (*bind)(const core::ini_section&, settings&, std::vector<core::ini_error>&);
 };
 
-const std::array<section_rule, 8> section_rules{{
+const std::array<section_rule, 9> section_rules{{
     {"instance", true, [](const auto& s, auto& o, auto& f) { bind(s, instance_keys, o.instance, f); }},
     {"listen", true,
      [](const auto& s, auto& o, auto& f) { bind(with_addresses(s), listen_keys, o.listen, f); }},
--- a/testsuite/untrusted_readiness/run.sh
+++ b/testsuite/untrusted_readiness/run.sh
@@ -2,4 +2,4 @@
 # its descriptors, or no longer serves callers or probes, by what is sent there.
 source "$(dirname "$0")/../common/crowd_case.sh"
 play_crowds readiness idle bodies_whole bodies_in_pieces bodies_in_chunks bodies_over_the_limit endless_chunks half_heads half_bodies many_fields \
-    many_fields_pipelined pipelined pipelined_large_heads answers_not_read slow_readers slow_senders chunk_extensions trailers
+    many_fields_pipelined pipelined pipelined_large_heads answers_not_read slow_readers slow_senders chunk_extensions trailers endless_chunk_header
