--- a/src/include/balsampost/core/placement.h
+++ b/src/include/balsampost/core/placement.h
@@ -1,4 +1,4 @@
-// Placement of slices on servers: assigns slices without an owner, and plans the moves whose benefit exceeds
+// Placement of slices on servers: assigns slices without an owner, and plans the moves whose gain exceeds
 // their cost.
 #pragma once
 
