--- a/src/libbalsampost_core/evacuation/key_evacuation_test.cpp
+++ b/src/libbalsampost_core/evacuation/key_evacuation_test.cpp
@@ -18,7 +18,7 @@
 /// Answers all calls at once, except releases of servers in `slow_domains`, which stay open until
 /// `answer_slow`.
 struct world {
-    explicit world(int servers_per_domain, std::vector<std::string> domains = {"a", "b", "c"}) {
+    explicit world(int servers_per_domain, const std::vector<std::string>& domains = {"a", "b", "c"}) {
         for (const auto& domain : domains) {
             for (int i = 0; i < servers_per_domain; ++i) {
                 backend b;
