--- a/review/rig-2/rig.h
+++ b/review/rig-2/rig.h
@@ -271,6 +271,7 @@
     int port = 0;
     /// While set, all calls are answered 503: nothing was done.
     std::atomic<bool> busy{false};
+    std::atomic<long> answer_ms{4};
 
     bool start(const std::string& at) {
         ip = at;
@@ -343,7 +344,7 @@
     }
 
     answer call(const message& m) {
-        sleep_ms(4);
+        sleep_ms(answer_ms);
         if (busy) {
             return reply(503, json::object());
         }
@@ -426,6 +427,8 @@
     std::string ip;
     int port = 0;
     int slots = 4;
+    int queue = 12;
+    bool enforce_slots = false; // Whether requests beyond the slots wait, and are turned away when the queue is full.
     bool keyed = false;
     long born = unix_ms();
     long work_ms = 20;
@@ -457,6 +460,14 @@
         const std::lock_guard lock(m_mutex);
         return holds_locked(key);
     }
+    /// Begins a new life at the same address: it holds and knows nothing of before.
+    void restart() {
+        const std::lock_guard lock(m_mutex);
+        m_holds.clear();
+        m_seen.clear();
+        born = std::max(born + 1, unix_ms());
+        sequence = 0;
+    }
     void reset_connections() { m_server.reset_connections(); }
     void silence_connections() { m_server.silence_connections(); }
 
@@ -487,6 +498,12 @@
         return out;
     }
 
+    std::string load_figures() {
+        const std::lock_guard lock(m_mutex);
+        const int running = enforce_slots ? m_working : m_running.load();
+        return std::to_string(running) + "," + std::to_string(m_waiting) + "," + std::to_string(slots);
+    }
+
     static answer not_executed(int status) {
         answer out;
         out.status = status;
@@ -519,6 +536,23 @@
             ++m_running;
             m_running_keys.insert(key);
         }
+        // A request waits for a slot, at most until its time limit.
+        if (enforce_slots) {
+            const auto limit = std::atol(m.header("x-balsampost-deadline-ms").c_str());
+            std::unique_lock lock(m_mutex);
+            const bool room = m_waiting < queue;
+            ++m_waiting;
+            const bool started = room && m_slot_free.wait_for(lock, std::chrono::milliseconds(limit),
+                                                              [&] { return m_working < slots; });
+            --m_waiting;
+            if (!started) {
+                --m_running;
+                m_running_keys.erase(m_running_keys.find(key));
+                m_idle.notify_all();
+                return not_executed(503);
+            }
+            ++m_working;
+        }
         ++runs;
         journal.line("%s runs %s", id.c_str(), m.header("x-balsampost-request-id").c_str());
         on_run(m);
@@ -526,12 +560,14 @@
         {
             const std::lock_guard lock(m_mutex);
             --m_running;
+            m_working -= enforce_slots ? 1 : 0;
             m_running_keys.erase(m_running_keys.find(key));
             m_idle.notify_all();
+            m_slot_free.notify_one();
         }
         answer out;
         out.headers = {{"X-Balsampost-Response-Signature", id + "." + m.header("x-balsampost-request-id")},
-                       {"X-Balsampost-Server-Load", std::to_string(m_running.load()) + ",0," + std::to_string(slots)}};
+                       {"X-Balsampost-Server-Load", load_figures()}};
         out.body = "answer to " + m.header("x-balsampost-request-id");
         return out;
     }
@@ -592,6 +628,9 @@
     http_server m_server;
     std::mutex m_mutex;
     std::condition_variable m_idle;
+    std::condition_variable m_slot_free;
+    int m_working = 0;
+    int m_waiting = 0;
     std::vector<hold> m_holds;
     std::vector<hold> m_seen; // Keys and fence numbers of all orders.
     std::atomic<int> m_running{0};
