--- a/review/rig-2/rig.h
+++ b/review/rig-2/rig.h
@@ -1,5 +1,6 @@
-// Stand-ins for the scripts of this review: the platform's store, backend servers, a client, and the start and
-// end of balsampost-entry processes. Plain blocking sockets, one thread a connection. All addresses are loopback.
+// Stand-ins for the scripts of this review: the platform's store, backend servers, a client, and the start
+// and end of balsampost-entry processes. Plain blocking sockets, one thread a connection. All addresses are
+// loopback.
 #pragma once
 
 #include <arpa/inet.h>
@@ -44,8 +45,12 @@
     return static_cast<long>(
         std::chrono::duration_cast<std::chrono::milliseconds>(steady::now() - started).count());
 }
-inline void sleep_ms(long ms) { std::this_thread::sleep_for(std::chrono::milliseconds(ms)); }
-inline void sleep_until_ms(long at) { sleep_ms(std::max(0L, at - now_ms())); }
+inline void sleep_ms(long ms) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(ms));
+}
+inline void sleep_until_ms(long at) {
+    sleep_ms(std::max(0L, at - now_ms()));
+}
 inline long unix_ms() {
     return static_cast<long>(std::chrono::duration_cast<std::chrono::milliseconds>(
                                  std::chrono::system_clock::now().time_since_epoch())
@@ -104,8 +109,7 @@
     int status = 200;
     std::vector<std::pair<std::string, std::string>> headers;
     std::string body;
-    bool close = false;   // Says "Connection: close" and closes.
-    bool vanish = false;  // Closes without an answer.
+    bool close = false; // Says "Connection: close" and closes.
 };
 
 /// Reads one message. `pending` keeps bytes read beyond it. Returns false at the end of the connection.
@@ -139,7 +143,8 @@
         const auto line = pending.substr(at, eol - at);
         const auto colon = line.find(':');
         auto name = line.substr(0, colon);
-        std::transform(name.begin(), name.end(), name.begin(), [](unsigned char c) { return std::tolower(c); });
+        std::transform(name.begin(), name.end(), name.begin(),
+                       [](unsigned char c) { return std::tolower(c); });
         auto value = colon == std::string::npos ? std::string() : line.substr(colon + 1);
         value.erase(0, value.find_first_not_of(' '));
         out.headers[name] = value;
@@ -195,18 +200,6 @@
         std::thread([this] { accept_loop(); }).detach();
         return ntohs(at.sin_port);
     }
-    /// Resets all open connections; new ones are accepted as before.
-    void reset_connections() {
-        const std::lock_guard lock(m_mutex);
-        for (const int fd : m_open) {
-            const linger now{1, 0};
-            ::setsockopt(fd, SOL_SOCKET, SO_LINGER, &now, sizeof now);
-            ::shutdown(fd, SHUT_RDWR);
-        }
-    }
-
-    /// All open connections go silent for good: nothing more is answered on them. New ones work.
-    void silence_connections() { ++m_silenced; }
 
 private:
     void accept_loop() {
@@ -217,28 +210,14 @@
             }
             const int on = 1;
             ::setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
-            {
-                const std::lock_guard lock(m_mutex);
-                m_open.insert(fd);
-            }
             std::thread([this, fd] { serve(fd); }).detach();
         }
     }
     void serve(int fd) {
         std::string pending;
         message request;
-        const int born = m_silenced;
         for (int n = 0; read_message(fd, pending, request); ++n) {
-            if (m_silenced != born) {
-                continue;
-            }
             const auto a = m_handler(request, n);
-            if (m_silenced != born) {
-                continue;
-            }
-            if (a.vanish) {
-                break;
-            }
             std::string out = "HTTP/1.1 " + std::to_string(a.status) + " X\r\n";
             for (const auto& [name, value] : a.headers) {
                 out += name + ": " + value + "\r\n";
@@ -251,27 +230,22 @@
                 break;
             }
         }
-        const std::lock_guard lock(m_mutex);
-        m_open.erase(fd);
         ::close(fd);
     }
 
     handler m_handler;
     int m_listener = -1;
-    std::mutex m_mutex;
-    std::set<int> m_open;
-    std::atomic<int> m_silenced{0};
 };
 
 // The platform's store
 
 class store {
 public:
+    static constexpr long answer_time_ms = 4;
     std::string ip;
     int port = 0;
     /// While set, all calls are answered 503: nothing was done.
     std::atomic<bool> busy{false};
-    std::atomic<long> answer_ms{4};
 
     bool start(const std::string& at) {
         ip = at;
@@ -279,31 +253,12 @@
         return port != 0;
     }
     std::string address() const { return ip + ":" + std::to_string(port); }
-    void silence_connections() { m_server.silence_connections(); }
 
     /// Writes an object as the operator or a server does.
     std::uint64_t put(const std::string& kind, const std::string& name, const json& spec) {
         const std::lock_guard lock(m_mutex);
         return put_locked(kind, name, spec);
     }
-    void remove(const std::string& kind, const std::string& name) {
-        const std::lock_guard lock(m_mutex);
-        auto& objects = m_objects[kind];
-        const auto found = objects.find(name);
-        if (found == objects.end()) {
-            return;
-        }
-        auto old = found->second;
-        objects.erase(found);
-        old["metadata"]["revision"] = ++m_revision;
-        m_changes.push_back({m_revision, kind, {{"object", old}, {"removed", true}}});
-        m_changed.notify_all();
-    }
-    std::optional<json> spec_of(const std::string& kind, const std::string& name) {
-        const std::lock_guard lock(m_mutex);
-        const auto found = m_objects[kind].find(name);
-        return found == m_objects[kind].end() ? std::nullopt : std::optional<json>(found->second["spec"]);
-    }
 
 private:
     struct change {
@@ -344,7 +299,7 @@
     }
 
     answer call(const message& m) {
-        sleep_ms(answer_ms);
+        sleep_ms(answer_time_ms);
         if (busy) {
             return reply(503, json::object());
         }
@@ -389,7 +344,8 @@
             return reply(200, {{"items", items}, {"more", false}, {"current_rev", m_revision}});
         }
         const auto since = std::stoull(watched);
-        const auto until = steady::now() + std::chrono::milliseconds(std::atol(query(target, "wait_ms").c_str()));
+        const auto until =
+            steady::now() + std::chrono::milliseconds(std::atol(query(target, "wait_ms").c_str()));
         auto events = json::array();
         while (true) {
             for (const auto& c : m_changes) {
@@ -397,8 +353,7 @@
                     events.push_back(c.event);
                 }
             }
-            if (!events.empty() || busy ||
-                m_changed.wait_until(lock, until) == std::cv_status::timeout) {
+            if (!events.empty() || busy || m_changed.wait_until(lock, until) == std::cv_status::timeout) {
                 break;
             }
         }
@@ -428,16 +383,17 @@
     int port = 0;
     int slots = 4;
     int queue = 12;
-    bool enforce_slots = false; // Whether requests beyond the slots wait, and are turned away when the queue is full.
     bool keyed = false;
     long born = unix_ms();
     long work_ms = 20;
-    /// Answers on one connection before the server closes it, with "Connection: close" in the last one. 0: no end.
+    /// Answers on one connection before the server closes it, with "Connection: close" in the last one. 0: no
+    /// end.
     int answers_per_connection = 0;
     std::atomic<bool> leaving{false};
     std::atomic<long> sequence{0};
     std::atomic<int> runs{0};
-    std::atomic<long> order_connection_ended{0}; // When the server last ended a connection after an order's answer.
+    std::atomic<long> order_connection_ended{
+        0}; // When the server last ended a connection after an order's answer.
     std::function<void(const message&)> on_run = [](const message&) {};
 
     bool start(const std::string& at) {
@@ -446,30 +402,16 @@
         return port != 0;
     }
     json entry() const {
-        return {{"service", service},
-                {"address", ip + ":" + std::to_string(port)},
-                {"zone", zone},
-                {"version", "1"},
-                {"slots", slots},
-                {"state", leaving ? "draining" : "ready"},
-                {"warmup_left", "0ms"},
-                {"sequence", sequence.load()},
+        return {{"service", service},   {"address", ip + ":" + std::to_string(port)},
+                {"zone", zone},         {"version", "1"},
+                {"slots", slots},       {"state", leaving ? "draining" : "ready"},
+                {"warmup_left", "0ms"}, {"sequence", sequence.load()},
                 {"born", born}};
     }
     bool holds(unsigned key) {
         const std::lock_guard lock(m_mutex);
         return holds_locked(key);
     }
-    /// Begins a new life at the same address: it holds and knows nothing of before.
-    void restart() {
-        const std::lock_guard lock(m_mutex);
-        m_holds.clear();
-        m_seen.clear();
-        born = std::max(born + 1, unix_ms());
-        sequence = 0;
-    }
-    void reset_connections() { m_server.reset_connections(); }
-    void silence_connections() { m_server.silence_connections(); }
 
 private:
     struct hold {
@@ -478,9 +420,8 @@
         long until;
     };
     bool holds_locked(unsigned key) const {
-        return std::any_of(m_holds.begin(), m_holds.end(), [&](const hold& h) {
-            return h.from <= key && key <= h.to && now_ms() < h.until;
-        });
+        return std::any_of(m_holds.begin(), m_holds.end(),
+                           [&](const hold& h) { return h.from <= key && key <= h.to && now_ms() < h.until; });
     }
 
     answer call(const message& m, int answered_before) {
@@ -490,7 +431,8 @@
             out.headers.emplace_back("Server-Leaving", "1");
             out.close = true;
         }
-        out.close = out.close || (answers_per_connection > 0 && answered_before + 1 >= answers_per_connection);
+        out.close =
+            out.close || (answers_per_connection > 0 && answered_before + 1 >= answers_per_connection);
         if (out.close && m.target() == "/v1/grant") {
             journal.line("%s ends the connection of an order, as it says in its answer", id.c_str());
             order_connection_ended = now_ms();
@@ -498,10 +440,29 @@
         return out;
     }
 
+    /// Waits for a slot, at most until the request's time limit. Returns false if the queue is full or the
+    /// limit has passed.
+    bool take_slot(const message& m) {
+        const std::chrono::milliseconds limit(std::atol(m.header("x-balsampost-deadline-ms").c_str()));
+        std::unique_lock lock(m_mutex);
+        if (m_waiting >= queue) {
+            return false;
+        }
+        ++m_waiting;
+        const bool free = m_slot_free.wait_for(lock, limit, [&] { return m_working < slots; });
+        --m_waiting;
+        m_working += free ? 1 : 0;
+        return free;
+    }
+
+    void end_run(unsigned key) {
+        m_running_keys.erase(m_running_keys.find(key));
+        m_idle.notify_all();
+    }
+
     std::string load_figures() {
         const std::lock_guard lock(m_mutex);
-        const int running = enforce_slots ? m_working : m_running.load();
-        return std::to_string(running) + "," + std::to_string(m_waiting) + "," + std::to_string(slots);
+        return std::to_string(m_working) + "," + std::to_string(m_waiting) + "," + std::to_string(slots);
     }
 
     static answer not_executed(int status) {
@@ -530,28 +491,15 @@
             const std::lock_guard lock(m_mutex);
             if (keyed && !holds_locked(key)) {
                 journal.line("%s turns away %s: does not hold key %u", id.c_str(),
-                         m.header("x-balsampost-request-id").c_str(), key);
+                             m.header("x-balsampost-request-id").c_str(), key);
                 return not_executed(421);
             }
-            ++m_running;
             m_running_keys.insert(key);
         }
-        // A request waits for a slot, at most until its time limit.
-        if (enforce_slots) {
-            const auto limit = std::atol(m.header("x-balsampost-deadline-ms").c_str());
-            std::unique_lock lock(m_mutex);
-            const bool room = m_waiting < queue;
-            ++m_waiting;
-            const bool started = room && m_slot_free.wait_for(lock, std::chrono::milliseconds(limit),
-                                                              [&] { return m_working < slots; });
-            --m_waiting;
-            if (!started) {
-                --m_running;
-                m_running_keys.erase(m_running_keys.find(key));
-                m_idle.notify_all();
-                return not_executed(503);
-            }
-            ++m_working;
+        if (!take_slot(m)) {
+            const std::lock_guard lock(m_mutex);
+            end_run(key);
+            return not_executed(503);
         }
         ++runs;
         journal.line("%s runs %s", id.c_str(), m.header("x-balsampost-request-id").c_str());
@@ -559,11 +507,9 @@
         sleep_ms(work_ms);
         {
             const std::lock_guard lock(m_mutex);
-            --m_running;
-            m_working -= enforce_slots ? 1 : 0;
-            m_running_keys.erase(m_running_keys.find(key));
-            m_idle.notify_all();
+            --m_working;
             m_slot_free.notify_one();
+            end_run(key);
         }
         answer out;
         out.headers = {{"X-Balsampost-Response-Signature", id + "." + m.header("x-balsampost-request-id")},
@@ -603,8 +549,8 @@
             out.headers.emplace_back("X-Balsampost-Handover", "5c0e7a21d94b36f8");
         }
         journal.line("%s %s %u-%u fence %lu%s -> %d", id.c_str(), is_grant ? "granted" : "released", from, to,
-                 static_cast<unsigned long>(fence),
-                 is_grant ? (" for " + body.at("hold_time").get<std::string>()).c_str() : "", out.status);
+                     static_cast<unsigned long>(fence),
+                     is_grant ? (" for " + body.at("hold_time").get<std::string>()).c_str() : "", out.status);
         return out;
     }
 
@@ -628,12 +574,11 @@
     http_server m_server;
     std::mutex m_mutex;
     std::condition_variable m_idle;
+    std::vector<hold> m_holds;
+    std::vector<hold> m_seen; // Keys and fence numbers of all orders.
     std::condition_variable m_slot_free;
     int m_working = 0;
     int m_waiting = 0;
-    std::vector<hold> m_holds;
-    std::vector<hold> m_seen; // Keys and fence numbers of all orders.
-    std::atomic<int> m_running{0};
     std::multiset<unsigned> m_running_keys;
 };
 
@@ -642,7 +587,8 @@
 /// Bounds as on the pages, one a line.
 inline const std::string usual_bounds =
     "seed_lag=3s\naddress_reuse=2s\nstable_window=3000ms\nack=4000ms\ncatch_up=4s\ndrain=2000ms\ngrace=6s\n"
-    "lost_slack=200ms\nconfig_apply=2000ms\nrollback_slack=250ms\nmax_stretch=5000ms\nretry_budget_ratio=0.2\n"
+    "lost_slack=200ms\nconfig_apply=2000ms\nrollback_slack=250ms\nmax_stretch=5000ms\nretry_budget_ratio=0."
+    "2\n"
     "budget_window=10s\nretry_budget_slack=62\nrecovery=15s\nmax_hold=10000ms\nthaw_slack=300ms\n";
 
 struct entry_process {
@@ -676,13 +622,13 @@
         peers = free_port(ip);
     } while (peers == e.callers || peers == e.readiness);
     const auto file = folder + "/" + name + ".ini";
-    std::ofstream(file) << "[instance]\nname = " << name << "\nregion = r\nfailure_domain = " << zone
-                        << "\naddress = " << ip << "\n\n[listen]\ncallers = " << ip << ":" << e.callers
-                        << "\nreadiness = " << ip << ":" << e.readiness << "\npeers = " << ip << ":" << peers
-                        << "\n\n[store]\naddress = " << s.address()
-                        << "\n\n[resources]\nmemory_mb = 260\ndescriptors = 4100\ncpu_share = 0.2\nlink_mbps = 1000.0\n"
-                        << "\n[regions]\na = r\nb = r\n[platform bounds]\nheartbeat=870ms\n"
-                        << bounds << "# end\n";
+    std::ofstream(file)
+        << "[instance]\nname = " << name << "\nregion = r\nfailure_domain = " << zone << "\naddress = " << ip
+        << "\n\n[listen]\ncallers = " << ip << ":" << e.callers << "\nreadiness = " << ip << ":"
+        << e.readiness << "\npeers = " << ip << ":" << peers << "\n\n[store]\naddress = " << s.address()
+        << "\n\n[resources]\nmemory_mb = 260\ndescriptors = 4100\ncpu_share = 0.2\nlink_mbps = 1000.0\n"
+        << "\n[regions]\na = r\nb = r\n[platform bounds]\nheartbeat=870ms\n"
+        << bounds << "# end\n";
     e.pid = ::fork();
     if (e.pid == 0) {
         const int out = ::open((folder + "/" + name + ".log").c_str(), O_CREAT | O_WRONLY | O_APPEND, 0644);
@@ -699,7 +645,7 @@
 // The client
 
 struct outcome {
-    int status = 0;  // 0: no complete answer.
+    int status = 0; // 0: no complete answer.
     message reply;
     long took_ms = 0;
 };
@@ -724,7 +670,8 @@
 inline std::string request_text(const std::string& method, const std::string& path, const std::string& host,
                                 const std::string& id, long deadline_ms, int key = -1,
                                 const std::string& body = "") {
-    std::string out = method + " " + path + " HTTP/1.1\r\nHost: " + host + "\r\nX-Balsampost-Request-Id: " + id +
+    std::string out = method + " " + path + " HTTP/1.1\r\nHost: " + host +
+                      "\r\nX-Balsampost-Request-Id: " + id +
                       "\r\nX-Balsampost-Deadline-Ms: " + std::to_string(deadline_ms) + "\r\n";
     if (key >= 0) {
         out += "X-Balsampost-Shard-Key: " + std::to_string(key) + "\r\n";
@@ -737,7 +684,8 @@
 
 inline bool wait_ready(const entry_process& e, long within_ms) {
     for (const auto until = now_ms() + within_ms; now_ms() < until; sleep_ms(50)) {
-        if (send_request(e.ip, e.readiness, "GET /v1/readiness HTTP/1.1\r\nHost: x\r\n\r\n", 500).status == 200) {
+        if (send_request(e.ip, e.readiness, "GET /v1/readiness HTTP/1.1\r\nHost: x\r\n\r\n", 500).status ==
+            200) {
             return true;
         }
     }
