--- a/review/rig-2/rig.h
+++ b/review/rig-2/rig.h
@@ -9,6 +9,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -631,6 +632,7 @@
         << bounds << "# end\n";
     e.pid = ::fork();
     if (e.pid == 0) {
+        ::prctl(PR_SET_PDEATHSIG, SIGKILL); // No entry outlives the rig.
         const int out = ::open((folder + "/" + name + ".log").c_str(), O_CREAT | O_WRONLY | O_APPEND, 0644);
         ::dup2(out, 1);
         ::dup2(out, 2);
