entry: a signal that meets a frozen process may be as old as the freeze

Cause: the stop's window was counted from the handling of the signal, which a frozen process reaches only when it runs again. Ruled out: a margin too small at the exit (the log has no line of the stop before the kill), idle connections closed late. Change: core::pauses::process_pauses detects pauses by late beats of the event loop; core::stop_window takes the earliest and the latest time of the signal: requests are taken up to the earliest kill, those taken before have until the latest one.

--- a/src/include/balsampost/core/stop_window.h
+++ b/src/include/balsampost/core/stop_window.h
@@ -13,11 +13,15 @@
     /// No stop has begun; all requests are taken.
     stop_window() = default;
     /// A stop that was signalled at `signalled`; the process is killed `grace` later.
-    stop_window(time_point signalled, milliseconds grace);
+    stop_window(time_point signalled, milliseconds grace) : stop_window(signalled, signalled, grace) {}
+    /// A stop that was signalled at an unknown time from `earliest` to `handled`: a process that stood still
+    /// handles a signal late. Requests are taken only if they end before the earliest kill; those that were
+    /// taken before have until the latest one.
+    stop_window(time_point earliest, time_point handled, milliseconds grace);
 
     bool stopping() const { return m_stopping; }
     /// Whether a request that is answered by `deadline` may be taken.
-    bool holds(time_point deadline) const { return !m_stopping || deadline <= m_work_end; }
+    bool holds(time_point deadline) const { return !m_stopping || deadline <= m_taking_end; }
     /// Until then callers' connections are accepted although none is open: the load balancer may still send
     /// some. Not after `work_end`.
     time_point listen_end() const { return m_listen_end; }
@@ -28,6 +32,7 @@
 
 private:
     bool m_stopping = false;
+    time_point m_taking_end = time_point::max(); // At most `m_work_end`.
     time_point m_listen_end = time_point::max();
     time_point m_work_end = time_point::max(); // m_listen_end <= m_work_end <= m_process_end
     time_point m_process_end = time_point::max();
--- a/src/include/balsampost/entry/entry.h
+++ b/src/include/balsampost/entry/entry.h
@@ -1,6 +1,7 @@
 // The router process between callers and backend servers. Owns all components and runs them on one thread.
 #pragma once
 
+#include "balsampost/core/pauses/process_pauses.h"
 #include "balsampost/core/relay/update_schedule.h"
 #include "balsampost/core/relay_plan.h"
 #include "balsampost/core/warmup/share_distributor.h"
@@ -114,6 +115,8 @@
     /// Servers to which no keys are assigned, and until when.
     std::map<core::incarnation, core::time_point> cold_servers_of(const std::string& service) const;
     void wait_for_signal();
+    /// Records pauses of the process by a timer that runs as long as the event loop.
+    void beat();
     void begin_stop();
     /// Closes idle connections; at the end of the work, answers what is left.
     void finish_stop();
@@ -127,6 +130,7 @@
     std::shared_ptr<core::memory::account> m_memory;
     net::asio::io_context m_context{1};
     timers m_timers;
+    core::pauses::process_pauses m_pauses;
     descriptor_room m_room;
     /// To backend servers, for requests of callers.
     http_client m_client;
--- a/src/libbalsampost_core/stop_window.cpp
+++ b/src/libbalsampost_core/stop_window.cpp
@@ -17,10 +17,12 @@
 
 } // namespace
 
-stop_window::stop_window(time_point signalled, milliseconds grace) : m_stopping(true) {
+stop_window::stop_window(time_point earliest, time_point handled, milliseconds grace) : m_stopping(true) {
     const auto margin = std::clamp(grace / grace_per_margin, min_margin, max_margin);
-    m_work_end = std::max(signalled, signalled + grace - margin);
-    m_listen_end = std::min(signalled + balancer_removal_time, m_work_end);
+    m_taking_end = std::max(earliest, earliest + grace - margin);
+    m_work_end = std::max(handled, handled + grace - margin);
+    // Readiness fails from then on, whenever the signal came.
+    m_listen_end = std::min(handled + balancer_removal_time, m_work_end);
     m_process_end = m_work_end + margin / 2;
 }
 
--- a/src/libbalsampost_core/stop_window_test.cpp
+++ b/src/libbalsampost_core/stop_window_test.cpp
@@ -14,6 +14,7 @@
     CPPUNIT_TEST(every_request_is_taken_without_a_stop);
     CPPUNIT_TEST(division_of_the_grace_time);
     CPPUNIT_TEST(taken_requests_end_within_the_grace_time);
+    CPPUNIT_TEST(a_signal_of_unknown_age);
     CPPUNIT_TEST_SUITE_END();
 
     void every_request_is_taken_without_a_stop() {
@@ -62,6 +63,26 @@
             }
         }
     }
+
+    /// Guards against requests that are taken after a pause of the process and cut by a kill whose time
+    /// counts from a signal within the pause.
+    void a_signal_of_unknown_age() {
+        const time_point handled{100s};
+        for (const milliseconds pause : {0ms, 500ms, 4'000ms, 6'000ms, 60'000ms}) {
+            const auto name = std::to_string(pause.count());
+            const stop_window w(handled - pause, handled, 6s);
+            const auto earliest_kill = handled - pause + 6s;
+            for (milliseconds sent{0}; sent <= 6s; sent += 50ms) {
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(name, handled + sent <= earliest_kill - 200ms,
+                                             w.holds(handled + sent));
+            }
+            // What was taken before the signal was handled may still end in time.
+            const stop_window latest(handled, 6s);
+            CPPUNIT_ASSERT_MESSAGE(name, w.work_end() == latest.work_end());
+            CPPUNIT_ASSERT_MESSAGE(name, w.listen_end() == latest.listen_end());
+            CPPUNIT_ASSERT_MESSAGE(name, w.process_end() == latest.process_end());
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(stop_window_test);
--- a/src/libbalsampost_entry/entry_start.cpp
+++ b/src/libbalsampost_entry/entry_start.cpp
@@ -29,6 +29,7 @@
 } // namespace
 
 void entry::begin_start() {
+    beat();
     wait_for_signal();
     unblock_signals();
     m_context.poll(); // A stop signal that is pending already ends the process before it binds anything.
--- a/src/libbalsampost_entry/entry_stop.cpp
+++ b/src/libbalsampost_entry/entry_stop.cpp
@@ -18,9 +18,13 @@
 } // namespace
 
 void entry::begin_stop() {
-    telemetry::log(event::stopping, {{"in_flight", std::to_string(m_callers.in_flight())}});
+    const auto handled = now();
+    const auto earliest_signal = m_pauses.earliest_occurrence(handled);
+    telemetry::log(event::stopping,
+                   {{"in_flight", std::to_string(m_callers.in_flight())},
+                    {"late_ms", std::to_string(core::milliseconds_between(earliest_signal, handled))}});
     m_stopping = true;
-    m_stop = core::stop_window(now(), m_settings.bounds.stop_time);
+    m_stop = core::stop_window(earliest_signal, handled, m_settings.bounds.stop_time);
     m_timers.at(m_stop.process_end(), [this] { end(); }); // Holds even if a step of the stop fails.
     m_timers.at(m_stop.listen_end(), [this] { finish_stop(); });
     m_callers.begin_stop(m_stop);
