entry: a body without a length is incomplete if the request's write failed

Cause: Linux reports a reset once; the pending write took the error, which was dropped, and the read saw an orderly end. Change: http_client remembers the failed write; a body that ends with its connection is then no whole one. Measured: response_faults_test::an_answer_cut_by_a_reset_during_the_upload_is_lost failed on the code before (ended as answered) and passes now. Looked at: orders, probes, store (same client), balsampostd and net::http_client (write first, then read).

--- a/src/libbalsampost_entry/http_client.cpp
+++ b/src/libbalsampost_entry/http_client.cpp
@@ -63,6 +63,7 @@
         m_busy = true;
         m_send_started = false;
         m_written = false;
+        m_write_failed = false;
         m_interim_count = 0;
         m_response_bytes = 0;
         start_response();
@@ -267,6 +268,7 @@
             }
             // The server may have answered before the error, so the pending read ends the exchange.
             self->m_written = !e;
+            self->m_write_failed = static_cast<bool>(e);
         });
     }
 
@@ -289,12 +291,13 @@
         }
         if (ec == net::asio::error::eof) {
             // Only a body without a length may end with its connection. The parser must not be told of an end
-            // before the first byte: it requires one.
+            // before the first byte: it requires one. A write that failed has taken the error of a reset from
+            // the socket, and the end of the stream is then no end of the body.
             error_code finished;
-            if (m_parser->is_header_done()) {
+            if (m_parser->is_header_done() && !m_write_failed) {
                 m_parser->put_eof(finished);
             }
-            if (m_parser->is_header_done() && !finished && m_parser->is_done()) {
+            if (m_parser->is_header_done() && !m_write_failed && !finished && m_parser->is_done()) {
                 complete(false);
             } else {
                 fail("the response ended early", false);
@@ -481,6 +484,7 @@
     bool m_busy = false;
     bool m_send_started = false; // A byte of the current request may have been sent.
     bool m_written = false;      // The whole request was written to the socket.
+    bool m_write_failed = false; // Not together with `m_written`.
     bool m_has_room = true;      // Of the owner, when the connection was made.
     bool m_no_room = false;
     bool m_refused = false;
