entry, net: each head of an answer is checked before its body is read

Cause: the status was not checked where a body ends with its connection; the parser folds lines that begin with white space into the field before, and reads an unknown Transfer-Encoding as a body up to the close. Change: net::fault_in_response_head checks status, version, folded lines and Transfer-Encoding as soon as a head is read; what fails it is malformed, interim answers too.

--- a/src/include/balsampost/net/http_rules.h
+++ b/src/include/balsampost/net/http_rules.h
@@ -25,4 +25,10 @@
 std::optional<std::string> ambiguity_in(const boost::beast::http::fields& fields, unsigned version,
                                         std::string_view target);
 
+/// Checks the head of a response for what the parser accepts though it is invalid, or what another parser
+/// could understand in another way. `text`: the bytes of the header fields, which the status line may
+/// precede. Returns the fault, or nothing if the head is valid.
+std::optional<std::string> fault_in_response_head(const boost::beast::http::fields& fields, unsigned version,
+                                                  unsigned status, std::string_view text);
+
 } // namespace balsampost::net
--- a/src/libbalsampost_entry/http_client.cpp
+++ b/src/libbalsampost_entry/http_client.cpp
@@ -2,6 +2,7 @@
 #include "balsampost/entry/http_client.h"
 
 #include "balsampost/entry/caller_memory.h"
+#include "balsampost/net/http_rules.h"
 
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
@@ -27,9 +28,7 @@
 // byte.
 constexpr std::uint64_t max_framing_bytes = 128U << 10U;
 constexpr std::uint64_t max_framing_per_body_byte = 8;
-constexpr unsigned min_status = 100;
 constexpr unsigned first_final_status = 200;
-constexpr unsigned max_status = 599;
 constexpr long max_idle_seconds = 3'600;  // A longer idle timeout of a server makes no difference.
 constexpr int max_interim_responses = 16; // 1xx responses before the final one.
 constexpr core::milliseconds keep_alive_margin{
@@ -314,12 +313,16 @@
     void parse() {
         error_code ec;
         while (m_buffer.size() > 0 && !m_parser->is_done()) {
+            const bool had_header = m_parser->is_header_done();
             const auto used = m_parser->put(m_buffer.data(), ec);
             if (m_holding && !m_parser->is_header_done()) {
                 const auto* first = static_cast<const char*>(m_buffer.data().data());
                 m_response_head_memory +=
                     header_memory(static_cast<std::uint64_t>(std::count(first, first + used, '\n')), used);
             }
+            if (!ec && !had_header && m_parser->is_header_done() && !has_valid_head(used)) {
+                return;
+            }
             m_buffer.consume(used);
             if (ec == http::error::need_more) {
                 break;
@@ -358,12 +361,7 @@
             read();
             return;
         }
-        const auto status = m_parser->get().result_int();
-        if (status < min_status || status > max_status) {
-            fail_malformed("the status " + std::to_string(status) + " is out of range");
-            return;
-        }
-        if (status < first_final_status) {
+        if (m_parser->get().result_int() < first_final_status) {
             if (++m_interim_count > max_interim_responses) {
                 fail_malformed("too many interim responses");
                 return;
@@ -379,6 +377,19 @@
         complete(m_written && m_buffer.size() == 0 && m_parser->get().keep_alive());
     }
 
+    /// Checks the head that was just parsed, the last `size` bytes of which are at the front of the buffer.
+    /// Ends the exchange and returns false if it is not valid.
+    bool has_valid_head(std::size_t size) {
+        const std::string_view text(static_cast<const char*>(m_buffer.data().data()), size);
+        const auto& message = m_parser->get();
+        const auto fault =
+            net::fault_in_response_head(message, message.version(), message.result_int(), text);
+        if (fault) {
+            fail_malformed(*fault);
+        }
+        return !fault;
+    }
+
     void complete(bool reusable) {
         cancel_timer();
         release_body();
--- a/src/libbalsampost_entry/response_faults_test.cpp
+++ b/src/libbalsampost_entry/response_faults_test.cpp
@@ -1,4 +1,5 @@
-// Answers of faulty servers that must not be taken for complete ones.
+// Answers of faulty servers that must not be taken for complete ones: ended by a reset, or with a head that
+// is no valid one.
 #include "balsampost/entry/http_client.h"
 
 #include "fakes.h"
@@ -45,6 +46,8 @@
 class response_faults_test : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(response_faults_test);
     CPPUNIT_TEST(an_answer_cut_by_a_reset_during_the_upload_is_lost);
+    CPPUNIT_TEST(an_answer_with_an_invalid_head_is_lost);
+    CPPUNIT_TEST(unusual_but_valid_answers_are_taken);
     CPPUNIT_TEST_SUITE_END();
 
     /// Guards against a part of a body taken for the whole: the pending write takes the error of a reset from
@@ -73,6 +76,100 @@
         }
         CPPUNIT_ASSERT(ended->end == exchange_end::lost);
     }
+
+    /// Returns how the exchange ends whose server sends `answer` and closes the connection.
+    static exchange_result result_of(const std::string& answer) {
+        net::asio::io_context context{1};
+        timers timer_queue(context);
+        http_client client(context, timer_queue, {});
+        scripted_backend server(context, {answer + "|close"});
+        exchange_request request;
+        request.head = "GET /x HTTP/1.1\r\n\r\n";
+        request.deadline = now() + 60'000ms;
+        std::optional<exchange_result> ended;
+        client.start(server.at(), std::move(request), [&](exchange_result& result) {
+            ended = std::move(result);
+            return true;
+        });
+        while (!ended) {
+            context.restart();
+            context.run_for(1ms);
+        }
+        return *ended;
+    }
+
+    /// Guards against heads that the parser accepts, or understands in another way than the server.
+    void an_answer_with_an_invalid_head_is_lost() {
+        using namespace std::string_literals;
+        const std::string heads[] = {
+            "HTTP/1.1 000 OK\r\n"s,
+            "HTTP/1.1 099 OK\r\n"s,
+            "HTTP/1.1 600 OK\r\n"s,
+            "HTTP/1.1 999 OK\r\n"s,
+            "HTTP/1.1 20 OK\r\n"s,
+            "HTTP/1.1 2000 OK\r\n"s,
+            "HTTP/2.0 200 OK\r\n"s,
+            "HTTP/0.9 200 OK\r\n"s,
+            "HTTP/1.1 200 OK\r\n X: y\r\n"s,
+            "HTTP/1.1 200 OK\r\n\tX: y\r\n"s,
+            "HTTP/1.1 200 OK\r\nA: b\r\n X: y\r\n"s,
+            "HTTP/1.1 200 OK\r\nA: b\r\n\tX: y\r\n"s,
+            "HTTP/1.1 200 OK\r\nA: b\r\n \r\n"s,
+            "HTTP/1.1 200 OK\r\nX : y\r\n"s,
+            "HTTP/1.1 200 OK\r\nX\t: y\r\n"s,
+            "HTTP/1.1 200 OK\r\nX Y: z\r\n"s,
+            "HTTP/1.1 200 OK\r\nX\x01Y: z\r\n"s,
+            "HTTP/1.1 200 OK\r\nX\x7fY: z\r\n"s,
+            "HTTP/1.1 200 OK\r\nX\xe4Y: z\r\n"s,
+            "HTTP/1.1 200 OK\r\nX\0Y: z\r\n"s,
+            "HTTP/1.1 200 OK\r\n\0: z\r\n"s,
+            "HTTP/1.1 200 OK\r\n: z\r\n"s,
+            "HTTP/1.1 200 OK\r\nno colon\r\n"s,
+            "HTTP/1.1 200 OK\r\nX: y\x01z\r\n"s,
+            "HTTP/1.1 200 OK\r\nX: y\0z\r\n"s,
+            "HTTP/1.1 200 OK\r\nX: y\rZ: z\r\n"s,
+            "HTTP/1.1 200 OK\r\nX: y\nContent-Length: 1\r\n"s,
+            "HTTP/1.1 200 O\x01K\r\n"s,
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n"s,
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: xchunked\r\n"s,
+            "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n"s,
+            "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 1\r\n"s,
+            "HTTP/1.1 200 OK\r\nContent-Length: 2, 1\r\n"s,
+            "HTTP/1.1 200 OK\r\nContent-Length: -2\r\n"s,
+        };
+        std::string taken;
+        for (const auto& head : heads) {
+            for (const auto* rest : {"Request-Id: req-1\r\n\r\nno", "Content-Length: 2\r\n\r\nno"}) {
+                const auto result = result_of(head + rest);
+                if (result.end != exchange_end::lost || !result.malformed) {
+                    taken += "\n" + head + rest;
+                }
+            }
+        }
+        CPPUNIT_ASSERT_EQUAL(std::string(), taken);
+    }
+
+    void unusual_but_valid_answers_are_taken() {
+        const std::string heads[] = {
+            "HTTP/1.1 200 OK\r\n",
+            "HTTP/1.0 200 OK\r\n",
+            "HTTP/1.1 200 \r\n",
+            "HTTP/1.1 599 OK\r\n",
+            "HTTP/1.1 200 OK\r\nX:\r\n",
+            "HTTP/1.1 200 OK\r\nX:\t y \t\r\n",
+            "HTTP/1.1 200 OK\r\nX: y\tz\r\n",
+            "HTTP/1.1 200 OK\r\nX: \xc3\xa4\r\n",
+            "HTTP/1.1 200 OK\r\n!#$%&'*+-.^_`|~09azAZ: y\r\n",
+            "HTTP/1.1 103 Early\r\nA: b\r\n\r\nHTTP/1.1 200 OK\r\n",
+        };
+        for (const auto& head : heads) {
+            for (const auto* rest : {"\r\nno", "Content-Length: 2\r\n\r\nno"}) {
+                const auto result = result_of(head + rest);
+                CPPUNIT_ASSERT_MESSAGE(head + rest + result.reason, result.end == exchange_end::answered);
+                CPPUNIT_ASSERT_EQUAL(std::string("no"), result.reply.body);
+            }
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(response_faults_test);
--- a/src/libbalsampost_net/http_rules.cpp
+++ b/src/libbalsampost_net/http_rules.cpp
@@ -24,6 +24,12 @@
 
 constexpr std::string_view reserved_prefix = "balsampost-";
 
+constexpr unsigned http_1_0 = 10;
+constexpr unsigned http_1_1 = 11;
+
+constexpr unsigned min_status = 100;
+constexpr unsigned max_status = 599;
+
 } // namespace
 
 bool is_hop_by_hop(std::string_view name) {
@@ -49,7 +55,6 @@
 
 std::optional<std::string> ambiguity_in(const http::fields& fields, unsigned version,
                                         std::string_view target) {
-    constexpr unsigned http_1_1 = 11;
     const auto lengths = fields.count(http::field::content_length);
     const auto encodings = fields.count(http::field::transfer_encoding);
     if (lengths > 0 && encodings > 0) {
@@ -76,4 +81,24 @@
                                  : std::nullopt;
 }
 
+std::optional<std::string> fault_in_response_head(const http::fields& fields, unsigned version,
+                                                  unsigned status, std::string_view text) {
+    if (status < min_status || status > max_status) {
+        return "the status " + std::to_string(status) + " is out of range";
+    }
+    if (version != http_1_0 && version != http_1_1) {
+        return "unknown HTTP version";
+    }
+    // The parser takes such a line for a continuation of the field before it.
+    if (text.find("\n ") != std::string_view::npos || text.find("\n\t") != std::string_view::npos) {
+        return "a header line begins with white space";
+    }
+    if (fields.count(http::field::transfer_encoding) > 0 &&
+        (version < http_1_1 || fields.count(http::field::transfer_encoding) > 1 ||
+         !boost::algorithm::iequals(fields[http::field::transfer_encoding], "chunked"))) {
+        return "unknown Transfer-Encoding";
+    }
+    return std::nullopt;
+}
+
 } // namespace balsampost::net
