net, daemon: bytes that wait for the parser are bounded

What callers would see: a process that ends for want of memory, after a server sent a chunk's extension or trailers without end. Cause: the parser takes these only whole, and the buffers in front of it had no bound; an answer to a lease order could have 64 MiB. Change: max_unparsed_bytes (128 KiB) for all buffers of net::http_client, net::serve_http and balsampostd; 64 KiB for answers to orders.

--- a/src/balsampostd/caller_session.cpp
+++ b/src/balsampostd/caller_session.cpp
@@ -79,7 +79,7 @@
 
     traffic_thread& m_traffic;
     net::beast::tcp_stream m_stream;
-    net::beast::flat_buffer m_buffer;
+    net::beast::flat_buffer m_buffer{net::max_unparsed_bytes};
     std::string m_caller_address;
     std::string m_span_id;
     std::string m_parent_span;
--- a/src/balsampostd/cell_home.cpp
+++ b/src/balsampostd/cell_home.cpp
@@ -17,6 +17,7 @@
 
 /// Interval at which the core is polled for the next lease order to a server.
 constexpr core::milliseconds order_poll_interval{5};
+constexpr std::uint64_t max_order_answer_bytes = 64U << 10U; // A server's answer to an order is short.
 /// Longest wait before an instance without servers in the cell checks again whether it is a home.
 constexpr core::milliseconds home_check_interval{200};
 
@@ -158,7 +159,7 @@
         }
         const auto* record = m_deps.view().members->find_server(server);
         if (record != nullptr && (!client || client->to() != record->location())) {
-            client.emplace(record->location());
+            client.emplace(record->location(), max_order_answer_bytes);
         }
         const auto order = client ? m_home.order_for(server, now()) : std::nullopt;
         if (!order) {
--- a/src/balsampostd/server_gate.h
+++ b/src/balsampostd/server_gate.h
@@ -7,6 +7,7 @@
 #include "balsampost/core/error.h"
 #include "balsampost/core/server_queue.h"
 #include "balsampost/net/asio.h"
+#include "balsampost/net/http.h"
 
 #include <functional>
 #include <memory>
@@ -20,7 +21,7 @@
 struct server_connection {
     explicit server_connection(net::beast::tcp_stream s) : stream(std::move(s)) {}
     net::beast::tcp_stream stream;
-    net::beast::flat_buffer buffer;
+    net::beast::flat_buffer buffer{net::max_unparsed_bytes};
 };
 
 using connection_ptr = std::unique_ptr<server_connection>;
--- a/src/include/balsampost/net/http.h
+++ b/src/include/balsampost/net/http.h
@@ -12,6 +12,10 @@
 
 namespace balsampost::net {
 
+/// Bytes of a connection that may wait to be parsed. The parser bounds heads and bodies, but takes a chunk's
+/// extension and trailers only whole.
+inline constexpr std::size_t max_unparsed_bytes = 128U << 10U;
+
 struct http_request {
     std::string method;
     std::string target;
@@ -40,7 +44,10 @@
 /// used from a single thread.
 class http_client {
 public:
-    explicit http_client(core::endpoint to);
+    static constexpr std::uint64_t default_max_body_bytes = 64U << 20U;
+
+    /// `max_body_bytes`: of one answer; a longer one fails with `unknown_outcome`.
+    explicit http_client(core::endpoint to, std::uint64_t max_body_bytes = default_max_body_bytes);
     ~http_client();
     http_client(http_client&&) noexcept;
     http_client& operator=(http_client&&) noexcept;
@@ -58,6 +65,7 @@
 private:
     struct connection;
     core::endpoint m_to;
+    std::uint64_t m_max_body_bytes;
     std::unique_ptr<connection> m_connection;
 };
 
--- a/src/libbalsampost_net/http.cpp
+++ b/src/libbalsampost_net/http.cpp
@@ -35,7 +35,7 @@
 awaitable<void> serve_connection(tcp::socket socket, http_handler handler, http_server_limits limits,
                                  std::shared_ptr<std::size_t> open_connections) {
     beast::tcp_stream stream(std::move(socket));
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer{max_unparsed_bytes};
     error_code ec;
     stream.socket().set_option(tcp::no_delay(true), ec);
     bool keep_alive = true;
@@ -136,10 +136,11 @@
 struct http_client::connection {
     explicit connection(beast::tcp_stream s) : stream(std::move(s)) {}
     beast::tcp_stream stream;
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer{max_unparsed_bytes};
 };
 
-http_client::http_client(core::endpoint to) : m_to(std::move(to)) {}
+http_client::http_client(core::endpoint to, std::uint64_t max_body_bytes)
+    : m_to(std::move(to)), m_max_body_bytes(max_body_bytes) {}
 http_client::~http_client() = default;
 http_client::http_client(http_client&&) noexcept = default;
 http_client& http_client::operator=(http_client&&) noexcept = default;
@@ -185,8 +186,7 @@
         co_return core::fail(core::error_code::unknown_outcome, core::to_string(m_to) + ": " + ec.message());
     }
     http::response_parser<http::string_body> parser;
-    constexpr std::uint64_t max_body_bytes = 64U << 20U;
-    parser.body_limit(max_body_bytes);
+    parser.body_limit(m_max_body_bytes);
     co_await http::async_read(current->stream, current->buffer, parser, into(ec));
     if (ec) {
         co_return core::fail(core::error_code::unknown_outcome, core::to_string(m_to) + ": " + ec.message());
--- /dev/null
+++ b/src/libbalsampost_net/http_test.cpp
@@ -0,0 +1,85 @@
+// Tests that the HTTP client of little traffic ends calls to servers that send bytes without end.
+#include "balsampost/net/http.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <array>
+
+namespace balsampost::net {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::uint64_t end_of_endless = 128U
+                                         << 20U; // Keeps a client that fails the test from taking all memory.
+
+/// Answers one connection with `begin` and then `more`, again and again until the other side closes.
+awaitable<void> send_endlessly(tcp::acceptor& acceptor, std::string begin, std::string more,
+                               std::uint64_t& sent) {
+    tcp::socket socket(co_await asio::this_coro::executor);
+    error_code ec;
+    co_await acceptor.async_accept(socket, into(ec));
+    std::array<char, 4096> request{};
+    co_await socket.async_read_some(asio::buffer(request), into(ec));
+    co_await asio::async_write(socket, asio::buffer(begin), into(ec));
+    while (!ec && sent < end_of_endless) {
+        sent += co_await asio::async_write(socket, asio::buffer(more), into(ec));
+    }
+    co_await socket.async_read_some(asio::buffer(request), into(ec));
+}
+
+} // namespace
+
+class http_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(http_test);
+    CPPUNIT_TEST(endless_answers_are_cut_off);
+    CPPUNIT_TEST_SUITE_END();
+
+    /// Guards against a faulty server whose bytes take all memory until the deadline of the call.
+    void endless_answers_are_cut_off() {
+        struct row {
+            const char* name;
+            std::string begin;
+            std::string more;
+        };
+        const std::string head = "HTTP/1.1 200 OK\r\n";
+        const std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+        const std::string block(64U << 10U, 'x');
+        const row rows[] = {
+            {"no line end", "HTTP/1.1 ", block},
+            {"a header without end", head + "X: ", block},
+            {"headers without end", head, "X: y\r\n"},
+            {"a body up to the close", head + "\r\n", block},
+            {"a chunk's extension without end", chunked + "4;a=", block},
+            {"trailers without end", chunked + "0\r\nX: ", block},
+        };
+        constexpr std::uint64_t max_body_bytes = 1U << 20U;
+        constexpr std::uint64_t max_sent = 32U << 20U; // Much of it waits in the sockets' buffers.
+        for (const auto& r : rows) {
+            asio::io_context context(1);
+            auto acceptor = listen_on(context, {"127.0.0.1", 0});
+            http_client client({"127.0.0.1", acceptor.local_endpoint().port()}, max_body_bytes);
+            std::uint64_t sent = 0;
+            bool failed = false;
+            bool in_time = false;
+            spawn(context, send_endlessly(acceptor, r.begin, r.more, sent));
+            const auto call = [&]() -> awaitable<void> {
+                const auto deadline = now() + 2s;
+                http_request request{"GET", "/", "", {}};
+                const auto answer = co_await client.request(std::move(request), deadline);
+                failed = !answer;
+                in_time = now() < deadline;
+            };
+            spawn(context, call());
+            context.run();
+            CPPUNIT_ASSERT_MESSAGE(r.name, failed);
+            CPPUNIT_ASSERT_MESSAGE(r.name, in_time);
+            CPPUNIT_ASSERT_MESSAGE(std::string(r.name) + ": " + std::to_string(sent), sent <= max_sent);
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(http_test);
+
+} // namespace balsampost::net
