daemon, net: heads of answers are checked as in the entry

The same cause as in the entry on related paths: server_call and net::http_client took any status, and server_call took an interim answer for the final one. server_call reads heads itself now, checks them with net::fault_in_response_head and passes interim answers over. net::http_client checks all but folded lines.

--- a/src/balsampostd/server_call.cpp
+++ b/src/balsampostd/server_call.cpp
@@ -1,10 +1,9 @@
 // HTTP client side of a call to a backend server. docs/SERVERS.md specifies the protocol.
 #include "server_call.h"
 
+#include "balsampost/net/http_rules.h"
 #include "balsampost/telemetry/log.h"
 
-#include <boost/beast/http.hpp>
-
 #include <memory>
 
 namespace balsampost::daemon {
@@ -25,14 +24,15 @@
 constexpr unsigned conflict_status = 409;
 constexpr unsigned unavailable_status = 503;
 
-using response_parser = http::response_parser<http::buffer_body>;
+constexpr unsigned first_final_status = 200;
+constexpr int max_interim_responses = 16; // 1xx responses before the final one.
 
 } // namespace
 
 struct server_call::http_exchange {
     http::request<http::buffer_body> request;
     http::request_serializer<http::buffer_body> serializer{request};
-    response_parser parser;
+    std::optional<response_parser> parser; // Of the response that is read; set by `read_head`.
     std::unique_ptr<char[]> body_buffer = std::make_unique<char[]>(chunk_bytes);
 };
 
@@ -89,17 +89,51 @@
         m_link.close();
         m_connection->stream.socket().close(ec); // Signals the caller's disconnect to the server.
     });
-    exchange.parser.header_limit(max_response_header_bytes);
-    exchange.parser.body_limit(std::numeric_limits<std::uint64_t>::max());
-    if (m_head.method == "HEAD") {
-        exchange.parser.skip(true);
+    const auto fault = co_await read_head(exchange);
+    if (fault) {
+        co_return connection_lost("no response from the server: " + *fault);
+    }
+    co_return co_await handle_response(exchange);
+}
+
+awaitable<std::optional<std::string>> server_call::read_head(http_exchange& exchange) {
+    for (int interim_count = 0; interim_count <= max_interim_responses; ++interim_count) {
+        exchange.parser.emplace();
+        exchange.parser->header_limit(max_response_header_bytes);
+        exchange.parser->body_limit(std::numeric_limits<std::uint64_t>::max());
+        exchange.parser->skip(m_head.method == "HEAD");
+        const auto fault = co_await read_one_head(*exchange.parser);
+        if (fault || exchange.parser->get().result_int() >= first_final_status) {
+            co_return fault;
+        }
     }
+    co_return "too many interim responses";
+}
+
+awaitable<std::optional<std::string>> server_call::read_one_head(response_parser& parser) {
+    auto& buffer = m_connection->buffer;
     error_code ec;
-    co_await http::async_read_header(m_connection->stream, m_connection->buffer, exchange.parser, into(ec));
-    if (ec) {
-        co_return connection_lost("no response from the server: " + ec.message());
+    while (!parser.is_header_done()) {
+        const auto used = buffer.size() > 0 ? parser.put(buffer.data(), ec) : 0;
+        if (ec && ec != http::error::need_more) {
+            co_return ec.message();
+        }
+        if (parser.is_header_done()) {
+            const auto& message = parser.get();
+            const std::string_view text(static_cast<const char*>(buffer.data().data()), used);
+            auto fault = net::fault_in_response_head(message, message.version(), message.result_int(), text);
+            buffer.consume(used);
+            co_return fault;
+        }
+        buffer.consume(used);
+        const auto received = co_await m_connection->stream.async_read_some(
+            buffer.prepare(std::min(chunk_bytes, buffer.max_size() - buffer.size())), into(ec));
+        if (ec) {
+            co_return ec.message();
+        }
+        buffer.commit(received);
     }
-    co_return co_await handle_response(exchange);
+    co_return std::nullopt;
 }
 
 awaitable<bool> server_call::send_head(http_exchange& exchange) {
@@ -143,7 +177,7 @@
 }
 
 awaitable<call_result> server_call::handle_response(http_exchange& exchange) {
-    const auto& message = exchange.parser.get();
+    const auto& message = exchange.parser->get();
     const auto status = message.result_int();
     const bool marked_not_run = message["Balsampost-Outcome"] == "not_run";
     if (marked_not_run && (status == conflict_status || status == unavailable_status)) {
@@ -153,15 +187,15 @@
 }
 
 awaitable<call_result> server_call::handle_refusal(http_exchange& exchange) {
-    const auto status = exchange.parser.get().result_int();
+    const auto status = exchange.parser->get().result_int();
     error_code ec;
-    while (!exchange.parser.is_done() && !ec) {
-        exchange.parser.get().body().data = exchange.body_buffer.get();
-        exchange.parser.get().body().size = chunk_bytes;
-        co_await http::async_read(m_connection->stream, m_connection->buffer, exchange.parser, into(ec));
+    while (!exchange.parser->is_done() && !ec) {
+        exchange.parser->get().body().data = exchange.body_buffer.get();
+        exchange.parser->get().body().size = chunk_bytes;
+        co_await http::async_read(m_connection->stream, m_connection->buffer, *exchange.parser, into(ec));
         ec = ec == http::error::need_buffer ? error_code{} : ec;
     }
-    if (!ec && exchange.parser.keep_alive()) {
+    if (!ec && exchange.parser->keep_alive()) {
         m_gate.release_connection(std::move(m_connection));
     }
     // Only status 503 indicates overload. Status 409 means that the server does not own the key.
@@ -170,16 +204,17 @@
 }
 
 awaitable<call_result> server_call::forward_response(http_exchange& exchange) {
-    const auto& message = exchange.parser.get();
+    const auto& message = exchange.parser->get();
     net::answer_head head;
     head.status = message.result_int();
     head.load_permille = m_gate.load_permille();
-    const auto length = exchange.parser.content_length();
+    const auto length = exchange.parser->content_length();
     head.content_length = length ? static_cast<std::int64_t>(*length) : -1;
     for (const auto& field : message) {
         head.headers.push_back({std::string(field.name_string()), std::string(field.value())});
     }
-    const bool fits_one_frame = exchange.parser.is_done() || (length && *length <= max_inline_response_bytes);
+    const bool fits_one_frame =
+        exchange.parser->is_done() || (length && *length <= max_inline_response_bytes);
     const auto stall_time = m_traffic.config().limits.stall_time;
     if (!fits_one_frame) {
         net::frame frame{net::frame_type::answer_head, 0, net::pack_message(head)};
@@ -187,15 +222,15 @@
             co_return call_result{};
         }
     }
-    while (!exchange.parser.is_done()) {
+    while (!exchange.parser->is_done()) {
         error_code ec;
-        auto& body = exchange.parser.get().body();
+        auto& body = exchange.parser->get().body();
         body.data = exchange.body_buffer.get();
         body.size = chunk_bytes;
         if (!fits_one_frame) {
             m_connection->stream.expires_after(stall_time);
         }
-        co_await http::async_read(m_connection->stream, m_connection->buffer, exchange.parser, into(ec));
+        co_await http::async_read(m_connection->stream, m_connection->buffer, *exchange.parser, into(ec));
         if (ec && ec != http::error::need_buffer) {
             if (fits_one_frame) {
                 co_return connection_lost("the response ended early");
@@ -220,7 +255,7 @@
         final_frame = {net::frame_type::answer_head, 0, net::pack_message(head)};
     }
     co_await m_link.write(std::move(final_frame), now() + stall_time);
-    if (exchange.parser.keep_alive()) {
+    if (exchange.parser->keep_alive()) {
         m_gate.release_connection(std::move(m_connection));
     }
     co_return call_result{core::run_result::completed, std::nullopt, ""};
--- a/src/libbalsampost_net/http.cpp
+++ b/src/libbalsampost_net/http.cpp
@@ -1,6 +1,8 @@
 // HTTP client and server for whole messages, based on Boost.Beast.
 #include "balsampost/net/http.h"
 
+#include "balsampost/net/http_rules.h"
+
 #include <boost/algorithm/string/case_conv.hpp>
 #include <boost/beast/http.hpp>
 
@@ -192,6 +194,9 @@
         co_return core::fail(core::error_code::unknown_outcome, core::to_string(m_to) + ": " + ec.message());
     }
     const auto& response = parser.get();
+    if (const auto fault = fault_in_response_head(response, response.version(), response.result_int(), {})) {
+        co_return core::fail(core::error_code::unknown_outcome, core::to_string(m_to) + ": " + *fault);
+    }
     http_answer answer{response.result_int(), response.body(),
                        std::string(response[http::field::content_type]), headers_of(response)};
     if (response.keep_alive()) {
