core: estimates that refuse all requests are checked by trial requests

Cause: an estimate above the deadline refuses all requests, refused requests make no attempts, and old estimates decayed only towards their own mean. Change: server_pool sends a request with most of its time left to an idle server by whose estimate none like it could finish, at most one each 500 ms to 3 s; an answer in time replaces the estimate. Estimates decay towards the mean of the latest ones.

--- a/src/include/balsampost/core/cost/server_work.h
+++ b/src/include/balsampost/core/cost/server_work.h
@@ -10,9 +10,10 @@
 /// An attempt at a server, as it was estimated when it was sent.
 struct attempt {
     request_class request;
-    double ms = 0;        ///< Estimated cost; 0: the attempt is not counted by cost.
-    double wait_ms = 0;   ///< Expected time in the server's queue.
-    bool is_long = false; ///< Its cost is a multiple of the service's mean.
+    double ms = 0;         ///< Estimated cost; 0: the attempt is not counted by cost.
+    double wait_ms = 0;    ///< Expected time in the server's queue.
+    bool is_long = false;  ///< Its cost is a multiple of the service's mean.
+    bool is_trial = false; ///< Sent although the estimates speak against it, to check them.
 };
 
 /// This instance's requests at one server by cost, and how fast the server is relative to the mean of the
--- a/src/include/balsampost/core/server_selection.h
+++ b/src/include/balsampost/core/server_selection.h
@@ -67,6 +67,10 @@
     /// First backoff after a server was unreachable or repeatedly silent; doubled with each further miss.
     milliseconds initial_backoff{300};
     milliseconds max_backoff{2'000};
+    /// Minimum time between the last attempt at a server and a trial request, which is sent although no
+    /// request is expected to finish in time. It grows with the number of instances.
+    milliseconds min_trial_interval{500};
+    milliseconds max_trial_interval{3'000};
     /// Fraction of the target latency that the expected latency may take up. The remainder is a margin, since
     /// about half of all answers take longer than expected.
     double max_target_fraction = 0.85;
@@ -96,6 +100,8 @@
     residency::region_limit allowed_regions{};
     /// Used for selection by cost only.
     cost::request_class cost_class = {};
+    /// Time to the deadline that the request had when it arrived. A request without it is never a trial.
+    milliseconds full_time{0};
 };
 
 struct selection {
@@ -114,6 +120,8 @@
     /// There is no server because those that could serve are cold and this instance has no share of their
     /// rate, or none left; one can be sent a request after `retry_after`.
     bool cold = false;
+    /// No server is expected to finish in time; the chosen one gets the request to check its estimate.
+    bool is_trial = false;
 };
 
 /// The servers of one service and this instance's estimates of them. Not thread-safe.
@@ -148,9 +156,10 @@
     /// server was selected as the owner of the request's key.
     bool may_send(const std::string& server, bool owner, time_point now) const;
 
-    /// Returns what was estimated of the attempt; pass it on when the attempt ends.
+    /// Returns what was estimated of the attempt; pass it on when the attempt ends. `is_trial`: as the
+    /// selection says.
     cost::attempt attempt_started(const std::string& server, time_point now,
-                                  const cost::request_class& cost_class = {});
+                                  const cost::request_class& cost_class = {}, bool is_trial = false);
     /// `took`: time from sending the request to the end of the attempt.
     void attempt_ended(const std::string& server, attempt_result result, milliseconds took,
                        std::optional<load_report> report, time_point now, const cost::attempt& attempt = {});
@@ -203,6 +212,7 @@
         std::uint32_t consecutive_misses = 0; // Latest attempts in a row that were unreachable or silent.
         time_point backoff_until = never;
         time_point last_attempt_ended = never; // The estimates decay from then on.
+        time_point last_attempt_started = never;
     };
 
     /// Chooses among a random sample of this share of the servers.
@@ -226,9 +236,15 @@
     /// Whether the request considers slowdowns; uses `random` only if any server has reported one.
     bool considers_slowdown(std::mt19937_64& random) const;
     double cost_ms(const state& s, double expected, const selection_request& request) const;
-    double mean_service_ms() const;
+    /// Service time of a server of which nothing is known: the mean of the latest estimates. Old ones decay
+    /// towards it, so they must not keep it up.
+    double typical_service_ms() const;
     double max_expected_ms(const state& s, const selection_request& request, time_point now) const;
     bool has_capacity(const state& s, time_point now) const;
+    /// Whether the server may get the request as a trial: it is idle, and by its estimate no request like
+    /// this one could finish in time. Refused requests teach nothing, so without trials such an estimate
+    /// would stay.
+    bool may_try(const state& s, const selection_request& request, time_point now) const;
     /// Whether the server is in one of the regions.
     bool is_in(const state& s, const residency::region_limit& regions) const;
     /// Whether the server leaves, by the list or by its own word.
@@ -250,8 +266,8 @@
     std::uint32_t m_connection_share = 8;
     std::uint32_t m_instances = 1;
     cost::cost_estimates m_costs;
-    bool m_slowdown_reported = false;     // By any server of the service.
-    mutable double m_mean_service_ms = 0; // Cached; 0: must be recomputed.
+    bool m_slowdown_reported = false;        // By any server of the service.
+    mutable double m_typical_service_ms = 0; // Cached; 0: must be recomputed.
 };
 
 } // namespace balsampost::core
--- a/src/libbalsampost_core/server_selection.cpp
+++ b/src/libbalsampost_core/server_selection.cpp
@@ -14,6 +14,8 @@
 
 /// Service time assumed until a server of the service has answered.
 constexpr double default_service_ms = 100;
+/// Estimates that are older than the newest one by more than this are not typical.
+constexpr milliseconds max_typical_age{3'000};
 /// Weight of a new answer in the smoothed service time.
 constexpr double service_time_gain = 0.1;
 /// Weight of a new attempt in the failure rate.
@@ -44,6 +46,13 @@
     return out;
 }
 
+selection trial_selection(const std::string& server) {
+    selection out;
+    out.server = server;
+    out.is_trial = true;
+    return out;
+}
+
 /// The refusal of a request whose servers are cold; this instance may send one a request at `next`.
 selection cold_selection(time_point next, time_point now) {
     selection out;
@@ -99,22 +108,26 @@
     m_servers = std::move(next);
     m_instances = std::max<std::uint32_t>(instances, 1);
     m_connection_share = std::max<std::uint32_t>(2, max_connections / std::max<std::uint32_t>(instances, 1));
-    m_mean_service_ms = 0;
+    m_typical_service_ms = 0;
 }
 
-double server_pool::mean_service_ms() const {
-    if (m_mean_service_ms <= 0) {
+double server_pool::typical_service_ms() const {
+    if (m_typical_service_ms <= 0) {
+        auto newest = never;
+        for (const auto& [id, s] : m_servers) {
+            newest = std::max(newest, s.last_attempt_ended);
+        }
         double sum = 0;
         std::uint32_t known = 0;
         for (const auto& [id, s] : m_servers) {
-            if (s.service_ms > 0) {
+            if (s.service_ms > 0 && newest <= after(s.last_attempt_ended, max_typical_age)) {
                 sum += s.service_ms;
                 ++known;
             }
         }
-        m_mean_service_ms = known == 0 ? default_service_ms : sum / known;
+        m_typical_service_ms = known == 0 ? default_service_ms : sum / known;
     }
-    return m_mean_service_ms;
+    return m_typical_service_ms;
 }
 
 double server_pool::estimated_load(const state& s, time_point now) const {
@@ -128,8 +141,8 @@
 }
 
 double server_pool::service_ms_of(const state& s, time_point now) const {
-    const double mean = mean_service_ms();
-    return s.service_ms > 0 ? mean + (s.service_ms - mean) * estimate_weight(s, now) : mean;
+    const double typical = typical_service_ms();
+    return s.service_ms > 0 ? typical + (s.service_ms - typical) * estimate_weight(s, now) : typical;
 }
 
 /// Weight of what was learned of a server, which decays while it gets no requests. Without the decay, a
@@ -221,6 +234,23 @@
            s.in_flight < m_cold->max_in_flight(s.info.self, s.info.slots, now);
 }
 
+bool server_pool::may_try(const state& s, const selection_request& request, time_point now) const {
+    const double slots = std::max<std::uint32_t>(s.info.slots, 1);
+    const bool idle = s.in_flight == 0 && estimated_load(s, now) + 1 <= slots;
+    // The time for a trial must not have been used up elsewhere.
+    if (!idle || request.full_time <= milliseconds{0} || 2 * request.time_to_deadline < request.full_time) {
+        return false;
+    }
+    const double expected = expected_ms(s, now, false, estimated_cost_ms(request.cost_class, now));
+    if (expected <= static_cast<double>(request.full_time.count()) * m_settings.max_deadline_fraction) {
+        return false;
+    }
+    const auto interval = std::clamp(
+        std::chrono::duration_cast<milliseconds>(m_settings.min_trial_interval * (m_instances / slots)),
+        m_settings.min_trial_interval, m_settings.max_trial_interval);
+    return now >= after(std::max(s.last_attempt_started, s.last_attempt_ended), interval);
+}
+
 bool server_pool::is_in(const state& s, const residency::region_limit& regions) const {
     return regions.unlimited() || regions.allows(residency::region_of(m_regions, s.info.failure_domain));
 }
@@ -257,7 +287,7 @@
 milliseconds server_pool::time_until_capacity(const state& s, double expected, double max_expected) const {
     const double slots = std::max<std::uint32_t>(s.info.slots, 1);
     const milliseconds retry{
-        static_cast<std::int64_t>(std::max(expected - max_expected, mean_service_ms() / slots))};
+        static_cast<std::int64_t>(std::max(expected - max_expected, typical_service_ms() / slots))};
     return std::clamp(retry, min_retry_after, max_retry_after);
 }
 
@@ -273,6 +303,7 @@
     const state* best = nullptr;
     double best_cost = 0;
     double best_expected = 0;
+    const state* trial = nullptr; // The server that waited longest for an attempt.
     auto soonest = max_retry_after;
     auto pause_ends = time_point::max(); // Of the servers that could serve but for their pause.
     bool only_paused = true;
@@ -324,8 +355,13 @@
         only_cold = false;
         const double expected = expected_ms(s, now, true, cost_estimate, slowdowns);
         const double max_expected = max_expected_ms(s, request, now);
-        if (!has_capacity(s, now) || expected > max_expected) {
+        const bool capacity = has_capacity(s, now);
+        if (!capacity || expected > max_expected) {
             soonest = std::min(soonest, time_until_capacity(s, expected, max_expected));
+            if (capacity && may_try(s, request, now) &&
+                (trial == nullptr || s.last_attempt_started < trial->last_attempt_started)) {
+                trial = &s;
+            }
             continue;
         }
         const double cost = cost_ms(s, expected * jitter(random), request) +
@@ -348,6 +384,9 @@
     if (best == nullptr && only_cold && cold_until != time_point::max()) {
         return cold_selection(cold_until, now);
     }
+    if (best == nullptr && trial != nullptr) {
+        return trial_selection(trial->info.self.id);
+    }
     if (best == nullptr) {
         return {"", milliseconds{0}, soonest};
     }
@@ -378,14 +417,18 @@
     }
     const double expected = expected_ms(s, now, false, estimated_cost_ms(request.cost_class, now));
     const double max_expected = max_expected_ms(s, request, now);
-    if (!has_capacity(s, now) || expected > max_expected) {
+    const bool capacity = has_capacity(s, now);
+    if (capacity && expected > max_expected && may_try(s, request, now)) {
+        return trial_selection(server);
+    }
+    if (!capacity || expected > max_expected) {
         return {"", milliseconds{0}, time_until_capacity(s, expected, max_expected)};
     }
     return {server, milliseconds{static_cast<std::int64_t>(expected)}, milliseconds{0}};
 }
 
 cost::attempt server_pool::attempt_started(const std::string& server, time_point now,
-                                           const cost::request_class& cost_class) {
+                                           const cost::request_class& cost_class, bool is_trial) {
     const auto found = m_servers.find(server);
     if (found == m_servers.end()) {
         return {};
@@ -393,9 +436,10 @@
     auto& s = found->second;
     const double cost = estimated_cost_ms(cost_class, now);
     const cost::attempt attempt{cost_class, cost, m_settings.by_cost ? wait_by_cost_ms(s, now) : 0,
-                                cost::server_work::is_long(cost, m_costs.mean_ms())};
+                                cost::server_work::is_long(cost, m_costs.mean_ms()), is_trial};
     s.work.started(attempt);
     ++s.in_flight;
+    s.last_attempt_started = now;
     m_cold->sent(s.info.self, now);
     return attempt;
 }
@@ -431,7 +475,7 @@
     }
     if (result == attempt_result::silent && static_cast<double>(took.count()) > s.service_ms) {
         s.service_ms += service_time_gain * (static_cast<double>(took.count()) - s.service_ms);
-        m_mean_service_ms = 0;
+        m_typical_service_ms = 0;
     }
     const double failed = result == attempt_result::answered  ? 0.0
                           : result == attempt_result::refused ? 0.5
@@ -459,9 +503,11 @@
         const double ahead = std::max(0.0, estimated_load(s, now) + 1 - slots);
         const double sample = s.speed.work_ms(took, now) / (1 + ahead / slots);
         ++s.answers;
-        const double gain = std::max(service_time_gain, 1.0 / s.answers);
+        // An answer in time to a trial refutes the estimate.
+        const double gain =
+            attempt.is_trial && sample < s.service_ms ? 1 : std::max(service_time_gain, 1.0 / s.answers);
         s.service_ms += gain * (sample - s.service_ms);
-        m_mean_service_ms = 0;
+        m_typical_service_ms = 0;
         const bool queued = (report && report->waiting > 0) || ahead > 0;
         ++(queued ? s.queued_count : s.unqueued_count);
         (queued ? s.queued_ms : s.unqueued_ms) += sample;
@@ -475,7 +521,7 @@
 
 milliseconds server_pool::service_time(const std::string& server) const {
     const auto found = m_servers.find(server);
-    const double ms = found == m_servers.end() || found->second.service_ms <= 0 ? mean_service_ms()
+    const double ms = found == m_servers.end() || found->second.service_ms <= 0 ? typical_service_ms()
                                                                                 : found->second.service_ms;
     return milliseconds{static_cast<std::int64_t>(ms)};
 }
