entry: the time in which the process stood still is not a server's

Change: traffic_state has the process's pauses; forwarding takes them off an attempt's time, and leaves a silence in one out. Pauses are seen from the first beat on. forwarding tells the pool a request's full time, and marks trials.

--- a/src/include/balsampost/core/pauses/process_pauses.h
+++ b/src/include/balsampost/core/pauses/process_pauses.h
@@ -19,8 +19,7 @@
     /// The event loop may need this long after a pause to handle all that arrived meanwhile.
     static constexpr milliseconds backlog_time{250};
 
-    explicit process_pauses(time_point started) : m_last_beat(started) {}
-
+    /// Pauses are seen from the first beat on.
     void beat(time_point now);
 
     /// Returns the earliest time at which an event may have occurred that the event loop handles at `now` as
@@ -41,9 +40,9 @@
     static constexpr std::size_t max_pauses = 256;
 
     /// Whether the next beat is late at `now`.
-    bool is_late(time_point now) const { return now - m_last_beat > max_beat_gap; }
+    bool is_late(time_point now) const { return m_last_beat != never && now - m_last_beat > max_beat_gap; }
 
-    time_point m_last_beat;
+    time_point m_last_beat = never;
     std::deque<pause> m_pauses; // In order of time; they do not overlap. At most `max_pauses`.
 };
 
--- a/src/include/balsampost/entry/entry.h
+++ b/src/include/balsampost/entry/entry.h
@@ -1,7 +1,6 @@
 // The router process between callers and backend servers. Owns all components and runs them on one thread.
 #pragma once
 
-#include "balsampost/core/pauses/process_pauses.h"
 #include "balsampost/core/relay/update_schedule.h"
 #include "balsampost/core/relay_plan.h"
 #include "balsampost/core/warmup/share_distributor.h"
@@ -130,7 +129,6 @@
     std::shared_ptr<core::memory::account> m_memory;
     net::asio::io_context m_context{1};
     timers m_timers;
-    core::pauses::process_pauses m_pauses;
     descriptor_room m_room;
     /// To backend servers, for requests of callers.
     http_client m_client;
--- a/src/include/balsampost/entry/forwarding.h
+++ b/src/include/balsampost/entry/forwarding.h
@@ -79,10 +79,14 @@
     void guard(std::string_view place, Step&& step);
     void find_route();
     void try_next_server();
-    void send_attempt(const std::string& server);
+    void send_attempt(const core::selection& choice);
     void on_attempt_end(const core::backend& server, core::time_point sent, exchange_result& result,
                         bool& reusable);
     /// The server may no longer be used and got nothing: another one, or the key's next owner, is used.
+    /// Tells the pool how the current attempt ended. The time in which this process stood still is not the
+    /// server's, and a server that was silent meanwhile may not have been.
+    void record_attempt(service_state& service, core::attempt_result result,
+                        const std::optional<core::load_report>& load, core::time_point at);
     void withdrawn(const core::backend& server);
     /// Classifies the result; an answer with another request's id counts as broken.
     core::attempt_result classify(const exchange_result& result) const;
--- a/src/include/balsampost/entry/traffic_state.h
+++ b/src/include/balsampost/entry/traffic_state.h
@@ -6,6 +6,7 @@
 #include "balsampost/core/key_load.h"
 #include "balsampost/core/key_table.h"
 #include "balsampost/core/manifest.h"
+#include "balsampost/core/pauses/process_pauses.h"
 #include "balsampost/core/repeat_budget.h"
 #include "balsampost/core/server_selection.h"
 #include "balsampost/entry/settings.h"
@@ -67,6 +68,8 @@
     service_state* find(const std::string& service);
     std::map<std::string, service_state>& services() { return m_services; }
     std::uint32_t instances() const { return m_instances; }
+    /// Pauses of this process, for all that judges by durations.
+    core::pauses::process_pauses& pauses() { return m_pauses; }
     core::weighted_round_robin& traffic_split(const std::string& route) { return m_splits[route]; }
     std::mt19937_64& random() { return m_random; }
 
@@ -78,6 +81,7 @@
     void notify();
 
     const settings& m_settings;
+    core::pauses::process_pauses m_pauses;
     std::shared_ptr<core::server_notices> m_notices = std::make_shared<core::server_notices>();
     std::shared_ptr<core::evacuation::evacuated_domains> m_evacuations;
     std::shared_ptr<core::warmup::cold_servers> m_cold;
--- a/src/libbalsampost_core/pauses/process_pauses_test.cpp
+++ b/src/libbalsampost_core/pauses/process_pauses_test.cpp
@@ -23,7 +23,7 @@
 
     /// Beats on time for a second, then one after a pause of four seconds.
     static process_pauses paused() {
-        process_pauses p(start);
+        process_pauses p;
         for (auto t = start; t <= start + 1s; t += process_pauses::beat_interval) {
             p.beat(t);
         }
@@ -34,7 +34,10 @@
     /// Guards against a stop that counts its grace time from the end of a pause although the signal came
     /// within it.
     void earliest_occurrence_around_a_pause() {
-        auto p = process_pauses(start);
+        process_pauses p;
+        CPPUNIT_ASSERT(p.earliest_occurrence(start) == start); // No beat yet.
+        CPPUNIT_ASSERT(p.stood_still(start - 1s, start) == 0s);
+        p.beat(start);
         CPPUNIT_ASSERT(p.earliest_occurrence(start + 60ms) == start + 60ms);
         // Handled before the beat that is late.
         CPPUNIT_ASSERT(p.earliest_occurrence(start + 4s) == start);
@@ -48,7 +51,8 @@
         }
         CPPUNIT_ASSERT(p.earliest_occurrence(start + 6s) == start + 6s);
         // Short delays, one after the other, are not one long pause.
-        p = process_pauses(start);
+        p = process_pauses();
+        p.beat(start);
         auto t = start;
         for (int i = 0; i < 100; ++i) {
             t += 100ms;
@@ -70,7 +74,8 @@
 
     void stood_still_is_a_part_of_the_time() {
         const bool held = rc::check("The time that the process stood still is within the time asked for", [] {
-            process_pauses p(start);
+            process_pauses p;
+            p.beat(start);
             auto t = start;
             for (const auto ms : *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 500))) {
                 t += milliseconds{ms};
--- a/src/libbalsampost_entry/entry.cpp
+++ b/src/libbalsampost_entry/entry.cpp
@@ -110,8 +110,7 @@
 entry::entry(settings s, const platform_factory& make_platform)
     : m_settings(std::move(s)), m_started(now()),
       m_memory(std::make_shared<core::memory::account>(memory_limits_of(m_settings))), m_timers(m_context),
-      m_pauses(m_started), m_room(m_settings.resources.descriptors),
-      m_client(m_context, m_timers, client_limits_of(m_settings)),
+      m_room(m_settings.resources.descriptors), m_client(m_context, m_timers, client_limits_of(m_settings)),
       m_order_client(m_context, m_timers, limits_of_bodies(order_body_bytes, all_order_bodies_bytes)),
       m_store_client(m_context, m_timers, limits_of_bodies(store_body_bytes, all_store_bodies_bytes)),
       m_platform(make_platform(m_store_client, m_timers, m_settings)), m_state(m_settings),
@@ -213,7 +212,7 @@
 // Signals
 
 void entry::beat() {
-    m_pauses.beat(now());
+    m_state.pauses().beat(now());
     m_timers.at(now() + core::pauses::process_pauses::beat_interval, [this] { beat(); });
 }
 
--- a/src/libbalsampost_entry/entry_stop.cpp
+++ b/src/libbalsampost_entry/entry_stop.cpp
@@ -19,7 +19,7 @@
 
 void entry::begin_stop() {
     const auto handled = now();
-    const auto earliest_signal = m_pauses.earliest_occurrence(handled);
+    const auto earliest_signal = m_state.pauses().earliest_occurrence(handled);
     telemetry::log(event::stopping,
                    {{"in_flight", std::to_string(m_callers.in_flight())},
                     {"late_ms", std::to_string(core::milliseconds_between(earliest_signal, handled))}});
--- a/src/libbalsampost_entry/forwarding.cpp
+++ b/src/libbalsampost_entry/forwarding.cpp
@@ -169,8 +169,13 @@
     const auto left = [&](core::time_point until) {
         return std::max(std::chrono::duration_cast<core::milliseconds>(until - at), core::milliseconds{0});
     };
-    return {left(m_target_deadline), left(m_deadline),  m_request.body ? m_request.body->size() : 0,
-            m_tried_servers,         m_allowed_regions, m_cost_class};
+    return {left(m_target_deadline),
+            left(m_deadline),
+            m_request.body ? m_request.body->size() : 0,
+            m_tried_servers,
+            m_allowed_regions,
+            m_cost_class,
+            std::chrono::duration_cast<core::milliseconds>(m_deadline - m_request.arrived)};
 }
 
 void forwarding::try_next_server() {
@@ -251,7 +256,7 @@
         refuse("the retry budget is exhausted", owner_retry_after);
         return;
     }
-    send_attempt(choice.server);
+    send_attempt(choice);
 }
 
 bool forwarding::refuse_for_owner_regions(const service_state& service, const core::key_range* range,
@@ -285,7 +290,8 @@
     refuse(reason, std::nullopt);
 }
 
-void forwarding::send_attempt(const std::string& server) {
+void forwarding::send_attempt(const core::selection& choice) {
+    const auto& server = choice.server;
     const auto* found = m_context.state.directory().find(server);
     auto* service = m_context.state.find(m_service);
     if (found == nullptr || service == nullptr) {
@@ -316,7 +322,7 @@
     m_exchange_sent_at = sent;
     m_exchange_open = true;
     const auto attempt = ++m_attempts_started;
-    m_attempt = service->pool.attempt_started(server, sent, m_cost_class);
+    m_attempt = service->pool.attempt_started(server, sent, m_cost_class, choice.is_trial);
     const auto self = shared_from_this();
     const auto handle = m_context.client.start(
         backend.address, std::move(request), [self, backend, sent](exchange_result& result) {
@@ -389,7 +395,7 @@
             (load->slowdown_unusable || service->pool.reports_slowdown(server.self.id))) {
             m_context.metrics.slowdown_unusable();
         }
-        service->pool.attempt_ended(server.self.id, outcome, elapsed, load, at, m_attempt);
+        record_attempt(*service, outcome, load, at);
     }
     if (outcome != attempt_result::answered) {
         m_context.metrics.attempt_failed(outcome);
@@ -465,6 +471,18 @@
                                                                : "the answer was lost or damaged");
 }
 
+void forwarding::record_attempt(service_state& service, attempt_result result,
+                                const std::optional<core::load_report>& load, core::time_point at) {
+    const auto stood_still = m_context.state.pauses().stood_still(m_exchange_sent_at, at);
+    const bool missed = result == attempt_result::silent || result == attempt_result::unreachable;
+    if (missed && stood_still > core::duration{0}) {
+        service.pool.attempt_abandoned(m_server, m_attempt);
+        return;
+    }
+    const auto took = std::chrono::duration_cast<core::milliseconds>(at - m_exchange_sent_at - stood_still);
+    service.pool.attempt_ended(m_server, result, took, load, at, m_attempt);
+}
+
 void forwarding::withdrawn(const core::backend& server) {
     if (auto* service = m_context.state.find(m_service)) {
         service->pool.attempt_abandoned(server.self.id);
@@ -573,10 +591,7 @@
         m_exchange_open = false;
         const auto at = now();
         if (auto* service = m_context.state.find(m_service)) {
-            service->pool.attempt_ended(
-                m_server, attempt_result::silent,
-                std::chrono::duration_cast<core::milliseconds>(at - m_exchange_sent_at), std::nullopt, at,
-                m_attempt);
+            record_attempt(*service, attempt_result::silent, std::nullopt, at);
         }
     }
     if (m_may_have_run) {
