daemon, net: bytes behind a response belong to no request

Change: server_gate and net::http_client do not reuse a connection whose buffer is not empty. balsampost-entry did so already.

--- a/src/balsampostd/server_gate.cpp
+++ b/src/balsampostd/server_gate.cpp
@@ -172,7 +172,8 @@
 }
 
 void server_gate::release_connection(connection_ptr connection) {
-    if (m_closed) {
+    // Bytes after a response belong to no request, and must not be taken for the next response.
+    if (m_closed || connection->buffer.size() > 0) {
         discard_connection(std::move(connection));
     } else {
         m_idle_connections.push_back(std::move(connection));
--- a/src/libbalsampost_net/http.cpp
+++ b/src/libbalsampost_net/http.cpp
@@ -199,7 +199,7 @@
     }
     http_answer answer{response.result_int(), response.body(),
                        std::string(response[http::field::content_type]), headers_of(response)};
-    if (response.keep_alive()) {
+    if (response.keep_alive() && current->buffer.size() == 0) { // Further bytes belong to no request.
         m_connection = std::move(current);
     }
     co_return answer;
--- a/src/libbalsampost_net/http_test.cpp
+++ b/src/libbalsampost_net/http_test.cpp
@@ -34,6 +34,7 @@
 class http_test : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(http_test);
     CPPUNIT_TEST(endless_answers_are_cut_off);
+    CPPUNIT_TEST(bytes_after_an_answer_belong_to_no_request);
     CPPUNIT_TEST_SUITE_END();
 
     /// Guards against a faulty server whose bytes take all memory until the deadline of the call.
@@ -78,6 +79,44 @@
             CPPUNIT_ASSERT_MESSAGE(std::string(r.name) + ": " + std::to_string(sent), sent <= max_sent);
         }
     }
+
+    /// Guards against bytes behind an answer that are taken for the answer to the next request.
+    void bytes_after_an_answer_belong_to_no_request() {
+        asio::io_context context(1);
+        auto acceptor = listen_on(context, {"127.0.0.1", 0});
+        http_client client({"127.0.0.1", acceptor.local_endpoint().port()});
+        const auto answer = [](const std::string& body) {
+            return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+        };
+        const std::string first = answer("first") + answer("of no request");
+        const std::string second = answer("second");
+        const auto serve = [&]() -> awaitable<void> {
+            for (const auto* bytes : {&first, &second}) {
+                tcp::socket socket(co_await asio::this_coro::executor);
+                error_code ec;
+                co_await acceptor.async_accept(socket, into(ec));
+                std::array<char, 4096> request{};
+                co_await socket.async_read_some(asio::buffer(request), into(ec));
+                co_await asio::async_write(socket, asio::buffer(*bytes), into(ec));
+                co_await socket.async_read_some(asio::buffer(request),
+                                                into(ec)); // The end of the connection.
+            }
+        };
+        std::vector<std::string> bodies;
+        const auto call = [&]() -> awaitable<void> {
+            for (int i = 0; i < 2; ++i) {
+                http_request request{"GET", "/", "", {}};
+                const auto reply = co_await client.request(std::move(request), now() + 2s);
+                bodies.push_back(reply ? reply->body : "none");
+            }
+            client.close();
+        };
+        spawn(context, serve());
+        spawn(context, call());
+        context.run_for(5s);
+        CPPUNIT_ASSERT_EQUAL(std::string("first"), bodies.at(0));
+        CPPUNIT_ASSERT_EQUAL(std::string("second"), bodies.at(1));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(http_test);
