core: ranges are looked up for new tokens only if they need one

Moves to new tokens are derived in each step; the lookup of each range's state is left out where no token is needed.

--- a/src/libbalsampost_core/key_coordinator.cpp
+++ b/src/libbalsampost_core/key_coordinator.cpp
@@ -422,10 +422,12 @@
 
 std::vector<key_move> key_coordinator::moves_to_new_tokens() const {
     std::vector<key_move> moves;
-    for (const auto& range : m_effective_table.ranges) {
-        const auto s = m_range_states.find({range.from, range.to, range.fence});
-        if (s != m_range_states.end() && s->second.needs_new_token && !range.owner.empty()) {
-            moves.push_back({range.from, range.to, range.owner, false});
+    // Called in each step: ranges are looked up only if they need a token.
+    for (const auto& [id, s] : m_range_states) {
+        const auto* range = s.needs_new_token ? m_effective_table.find(std::get<0>(id)) : nullptr;
+        if (range != nullptr && range_id{range->from, range->to, range->fence} == id &&
+            !range->owner.empty()) {
+            moves.push_back({range->from, range->to, range->owner, false});
         }
     }
     return moves;
