net, daemon: one reader of response heads, with a test

Cause: the parser's own reading of a whole message sees no text of the head and stops at an interim answer. Change: net::read_response_head reads and checks heads for server_call and net::http_client alike.

--- a/src/balsampostd/server_call.cpp
+++ b/src/balsampostd/server_call.cpp
@@ -1,9 +1,11 @@
 // HTTP client side of a call to a backend server. docs/SERVERS.md specifies the protocol.
 #include "server_call.h"
 
-#include "balsampost/net/http_rules.h"
+#include "balsampost/net/response_head.h"
 #include "balsampost/telemetry/log.h"
 
+#include <boost/beast/http.hpp>
+
 #include <memory>
 
 namespace balsampost::daemon {
@@ -24,15 +26,14 @@
 constexpr unsigned conflict_status = 409;
 constexpr unsigned unavailable_status = 503;
 
-constexpr unsigned first_final_status = 200;
-constexpr int max_interim_responses = 16; // 1xx responses before the final one.
+using response_parser = http::response_parser<http::buffer_body>;
 
 } // namespace
 
 struct server_call::http_exchange {
     http::request<http::buffer_body> request;
     http::request_serializer<http::buffer_body> serializer{request};
-    std::optional<response_parser> parser; // Of the response that is read; set by `read_head`.
+    std::optional<response_parser> parser; // Of the response that is read; set with its head.
     std::unique_ptr<char[]> body_buffer = std::make_unique<char[]>(chunk_bytes);
 };
 
@@ -89,53 +90,19 @@
         m_link.close();
         m_connection->stream.socket().close(ec); // Signals the caller's disconnect to the server.
     });
-    const auto fault = co_await read_head(exchange);
+    const auto prepare = [is_head = m_head.method == "HEAD"](auto& parser) {
+        parser.header_limit(max_response_header_bytes);
+        parser.body_limit(std::numeric_limits<std::uint64_t>::max());
+        parser.skip(is_head);
+    };
+    const auto fault = co_await net::read_response_head(m_connection->stream, m_connection->buffer,
+                                                        exchange.parser, prepare);
     if (fault) {
         co_return connection_lost("no response from the server: " + *fault);
     }
     co_return co_await handle_response(exchange);
 }
 
-awaitable<std::optional<std::string>> server_call::read_head(http_exchange& exchange) {
-    for (int interim_count = 0; interim_count <= max_interim_responses; ++interim_count) {
-        exchange.parser.emplace();
-        exchange.parser->header_limit(max_response_header_bytes);
-        exchange.parser->body_limit(std::numeric_limits<std::uint64_t>::max());
-        exchange.parser->skip(m_head.method == "HEAD");
-        const auto fault = co_await read_one_head(*exchange.parser);
-        if (fault || exchange.parser->get().result_int() >= first_final_status) {
-            co_return fault;
-        }
-    }
-    co_return "too many interim responses";
-}
-
-awaitable<std::optional<std::string>> server_call::read_one_head(response_parser& parser) {
-    auto& buffer = m_connection->buffer;
-    error_code ec;
-    while (!parser.is_header_done()) {
-        const auto used = buffer.size() > 0 ? parser.put(buffer.data(), ec) : 0;
-        if (ec && ec != http::error::need_more) {
-            co_return ec.message();
-        }
-        if (parser.is_header_done()) {
-            const auto& message = parser.get();
-            const std::string_view text(static_cast<const char*>(buffer.data().data()), used);
-            auto fault = net::fault_in_response_head(message, message.version(), message.result_int(), text);
-            buffer.consume(used);
-            co_return fault;
-        }
-        buffer.consume(used);
-        const auto received = co_await m_connection->stream.async_read_some(
-            buffer.prepare(std::min(chunk_bytes, buffer.max_size() - buffer.size())), into(ec));
-        if (ec) {
-            co_return ec.message();
-        }
-        buffer.commit(received);
-    }
-    co_return std::nullopt;
-}
-
 awaitable<bool> server_call::send_head(http_exchange& exchange) {
     error_code ec;
     auto& body = exchange.request.body();
--- a/src/balsampostd/server_call.h
+++ b/src/balsampostd/server_call.h
@@ -4,11 +4,6 @@
 #include "server_gate.h"
 #include "traffic.h"
 
-#include <boost/beast/http.hpp>
-
-#include <optional>
-#include <string>
-
 namespace balsampost::daemon {
 
 struct call_result {
@@ -30,12 +25,8 @@
 
 private:
     struct http_exchange;
-    using response_parser = net::beast::http::response_parser<net::beast::http::buffer_body>;
     net::awaitable<bool> send_head(http_exchange& exchange);
     net::awaitable<bool> send_remaining_body(http_exchange& exchange);
-    /// Reads heads up to that of the final response. Returns why there is none, or nothing.
-    net::awaitable<std::optional<std::string>> read_head(http_exchange& exchange);
-    net::awaitable<std::optional<std::string>> read_one_head(response_parser& parser);
     net::awaitable<call_result> handle_response(http_exchange& exchange);
     net::awaitable<call_result> forward_response(http_exchange& exchange);
     net::awaitable<call_result> handle_refusal(http_exchange& exchange);
--- a/src/libbalsampost_net/http.cpp
+++ b/src/libbalsampost_net/http.cpp
@@ -1,7 +1,7 @@
 // HTTP client and server for whole messages, based on Boost.Beast.
 #include "balsampost/net/http.h"
 
-#include "balsampost/net/http_rules.h"
+#include "balsampost/net/response_head.h"
 
 #include <boost/algorithm/string/case_conv.hpp>
 #include <boost/beast/http.hpp>
@@ -187,16 +187,19 @@
     if (ec) {
         co_return core::fail(core::error_code::unknown_outcome, core::to_string(m_to) + ": " + ec.message());
     }
-    http::response_parser<http::string_body> parser;
-    parser.body_limit(m_max_body_bytes);
-    co_await http::async_read(current->stream, current->buffer, parser, into(ec));
+    std::optional<http::response_parser<http::string_body>> parser;
+    const auto prepare = [limit = m_max_body_bytes](auto& p) { p.body_limit(limit); };
+    const auto fault = co_await read_response_head(current->stream, current->buffer, parser, prepare);
+    if (fault) {
+        co_return core::fail(core::error_code::unknown_outcome, core::to_string(m_to) + ": " + *fault);
+    }
+    if (!parser->is_done()) {
+        co_await http::async_read(current->stream, current->buffer, *parser, into(ec));
+    }
     if (ec) {
         co_return core::fail(core::error_code::unknown_outcome, core::to_string(m_to) + ": " + ec.message());
     }
-    const auto& response = parser.get();
-    if (const auto fault = fault_in_response_head(response, response.version(), response.result_int(), {})) {
-        co_return core::fail(core::error_code::unknown_outcome, core::to_string(m_to) + ": " + *fault);
-    }
+    const auto& response = parser->get();
     http_answer answer{response.result_int(), response.body(),
                        std::string(response[http::field::content_type]), headers_of(response)};
     if (response.keep_alive() && current->buffer.size() == 0) { // Further bytes belong to no request.
--- a/src/libbalsampost_net/http_test.cpp
+++ b/src/libbalsampost_net/http_test.cpp
@@ -35,6 +35,7 @@
     CPPUNIT_TEST_SUITE(http_test);
     CPPUNIT_TEST(endless_answers_are_cut_off);
     CPPUNIT_TEST(bytes_after_an_answer_belong_to_no_request);
+    CPPUNIT_TEST(heads_are_checked_and_interim_answers_passed_over);
     CPPUNIT_TEST_SUITE_END();
 
     /// Guards against a faulty server whose bytes take all memory until the deadline of the call.
@@ -80,6 +81,52 @@
         }
     }
 
+    /// Guards against heads that the parser accepts though they are invalid, and interim answers taken for
+    /// the final one.
+    void heads_are_checked_and_interim_answers_passed_over() {
+        struct row {
+            const char* name;
+            std::string answer;
+            std::string body; ///< Empty: the call fails.
+        };
+        const std::string rest = "Content-Length: 2\r\n\r\nok";
+        const row rows[] = {
+            {"valid", "HTTP/1.1 200 OK\r\n" + rest, "ok"},
+            {"an interim answer", "HTTP/1.1 103 Early\r\nA: b\r\n\r\nHTTP/1.1 200 OK\r\n" + rest, "ok"},
+            {"without a length", "HTTP/1.1 200 OK\r\n\r\nok", "ok"},
+            {"status 000", "HTTP/1.1 000 OK\r\n" + rest, ""},
+            {"status 999", "HTTP/1.1 999 OK\r\n" + rest, ""},
+            {"a folded line", "HTTP/1.1 200 OK\r\nA: b\r\n X: y\r\n" + rest, ""},
+            {"a blank in a name", "HTTP/1.1 200 OK\r\nA b: c\r\n" + rest, ""},
+            {"an unknown encoding", "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\nok", ""},
+            {"an interim answer alone", "HTTP/1.1 103 Early\r\n\r\n", ""},
+        };
+        for (const auto& r : rows) {
+            asio::io_context context(1);
+            auto acceptor = listen_on(context, {"127.0.0.1", 0});
+            http_client client({"127.0.0.1", acceptor.local_endpoint().port()});
+            const auto serve = [&]() -> awaitable<void> {
+                tcp::socket socket(co_await asio::this_coro::executor);
+                error_code ec;
+                co_await acceptor.async_accept(socket, into(ec));
+                std::array<char, 4096> request{};
+                co_await socket.async_read_some(asio::buffer(request), into(ec));
+                co_await asio::async_write(socket, asio::buffer(r.answer), into(ec));
+            };
+            std::string body;
+            const auto call = [&]() -> awaitable<void> {
+                http_request request{"GET", "/", "", {}};
+                const auto reply = co_await client.request(std::move(request), now() + 2s);
+                body = reply ? reply->body : "";
+                client.close();
+            };
+            spawn(context, serve());
+            spawn(context, call());
+            context.run();
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(r.name, r.body, body);
+        }
+    }
+
     /// Guards against bytes behind an answer that are taken for the answer to the next request.
     void bytes_after_an_answer_belong_to_no_request() {
         asio::io_context context(1);
