--- a/review/rig-3/cases.h
+++ b/review/rig-3/cases.h
@@ -14,6 +14,8 @@
 std::optional<int> play_keys_after_restore(record& out, bool trouble, const std::string& program);
 std::optional<int> play_manifest_after_restore(record& out, bool trouble, const std::string& program);
 
+std::optional<int> play_short_fields(record& out, bool trouble, const std::string& program);
+
 struct named_case {
     const char* name;
     case_function play;
@@ -22,6 +24,7 @@
 inline constexpr named_case all_cases[] = {
     {"keys-after-restore", play_keys_after_restore},
     {"manifest-after-restore", play_manifest_after_restore},
+    {"short-fields", play_short_fields},
 };
 
 } // namespace balsampost::review::rig_3
