--- a/review/rig-3/cases.h
+++ b/review/rig-3/cases.h
@@ -13,8 +13,8 @@
 
 std::optional<int> play_keys_after_restore(record& out, bool trouble, const std::string& program);
 std::optional<int> play_manifest_after_restore(record& out, bool trouble, const std::string& program);
-
 std::optional<int> play_short_fields(record& out, bool trouble, const std::string& program);
+std::optional<int> play_bodies_left_behind(record& out, bool trouble, const std::string& program);
 
 struct named_case {
     const char* name;
@@ -25,6 +25,7 @@
     {"keys-after-restore", play_keys_after_restore},
     {"manifest-after-restore", play_manifest_after_restore},
     {"short-fields", play_short_fields},
+    {"bodies-left-behind", play_bodies_left_behind},
 };
 
 } // namespace balsampost::review::rig_3
--- a/review/rig-3/instance.cpp
+++ b/review/rig-3/instance.cpp
@@ -15,6 +15,7 @@
 
 constexpr int status_ok = 200;
 constexpr milliseconds page_timeout{1'000};
+constexpr int max_descriptors = 4'096;
 
 std::string settings_text(const instance_settings& s) {
     std::ostringstream out;
@@ -23,7 +24,8 @@
         << "\naddress = " << s.address << "\n\n[listen]\ncallers = " << s.address
         << ":8641\nreadiness = " << s.address << ":8640\npeers = " << s.address
         << ":7620\nmetrics = " << s.address << ":9464\n\n[store]\naddress = " << s.store.text()
-        << "\n\n[resources]\nmemory_mb = 260\ndescriptors = 4100\ncpu_share = 0.2\nlink_mbps = "
+        << "\n\n[resources]\nmemory_mb = " << s.memory_mb
+        << "\ndescriptors = 4100\ncpu_share = 0.2\nlink_mbps = "
            "1000.0\n\n[regions]\n";
     for (const auto& [zone, region] : s.zones) {
         out << zone << " = " << region << "\n";
@@ -44,6 +46,10 @@
 } // namespace
 
 instance::instance(record& out, instance_settings settings) : m_record(out), m_settings(std::move(settings)) {
+    launch();
+}
+
+void instance::launch() {
     const auto file = m_settings.folder + "/" + m_settings.name + ".ini";
     const auto log = m_settings.folder + "/" + m_settings.name + ".log";
     std::ofstream(file) << settings_text(m_settings);
@@ -53,7 +59,7 @@
         const int to = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
         ::dup2(to, STDOUT_FILENO);
         ::dup2(to, STDERR_FILENO);
-        for (int other = 3; other < 1'024; ++other) {
+        for (int other = 3; other < max_descriptors; ++other) {
             ::close(other);
         }
         char* const arguments[] = {m_settings.program.data(), nullptr};
@@ -64,13 +70,25 @@
     m_record.line("instance " + m_settings.name + ": started");
 }
 
-instance::~instance() {
+void instance::end() {
     if (running()) {
         ::kill(m_process, SIGKILL);
         ::waitpid(m_process, nullptr, 0);
+        m_process = -1;
     }
 }
 
+instance::~instance() {
+    end();
+}
+
+void instance::kill_and_restart(milliseconds delay) {
+    end();
+    m_record.line("instance " + m_settings.name + ": killed");
+    std::this_thread::sleep_for(delay);
+    launch();
+}
+
 bool instance::ready() const {
     const auto answer = call(readiness(), "GET /v1/readiness HTTP/1.1\r\nHost: h\r\n\r\n", page_timeout);
     return answer && answer->status == status_ok;
@@ -83,6 +101,17 @@
     return m_process > 0;
 }
 
+int instance::memory_mb() const {
+    std::ifstream in("/proc/" + std::to_string(m_process) + "/status");
+    constexpr int kib_per_mib = 1'024;
+    for (std::string line; std::getline(in, line);) {
+        if (line.starts_with("VmRSS:")) {
+            return std::stoi(line.substr(line.find_first_of("0123456789"))) / kib_per_mib;
+        }
+    }
+    return 0;
+}
+
 void instance::send_signal(int number) {
     if (running()) {
         ::kill(m_process, number);
--- a/review/rig-3/instance.h
+++ b/review/rig-3/instance.h
@@ -16,6 +16,7 @@
     std::map<std::string, std::string> zones; ///< Region by zone.
     std::string program;
     std::string folder; ///< For the settings file and the log.
+    int memory_mb = 260;
 };
 
 class instance {
@@ -31,11 +32,18 @@
     bool ready() const;
     /// Whether the process still runs.
     bool running();
+    /// Memory in use by the process, in MiB, as the system states it; 0 if it has ended.
+    int memory_mb() const;
     void send_signal(int number);
+    /// Kills the process and starts another one after `delay`, as the platform does.
+    void kill_and_restart(milliseconds delay);
     /// Whether the process's log holds `text`.
     bool logged(const std::string& text) const;
 
 private:
+    void launch();
+    void end();
+
     record& m_record;
     instance_settings m_settings;
     pid_t m_process = -1;
--- a/review/rig-3/site.cpp
+++ b/review/rig-3/site.cpp
@@ -69,6 +69,8 @@
     s.service = keyed ? "keyed" : "plain";
     s.zone = number % 2 == 0 ? "z-a" : "z-b";
     s.keyed = keyed;
+    s.work = m_settings.work;
+    s.slots = m_settings.slots;
     m_servers.push_back(std::make_unique<backend>(
         m_record, m_runs, s, endpoint{address(2, number), server_port}, keyed ? &m_audit : nullptr));
     auto& added = *m_servers.back();
@@ -125,7 +127,7 @@
         m_instances.push_back(std::make_unique<instance>(
             m_record, instance_settings{"edge-" + std::to_string(i + 1), regions_by_zone.at(zone), zone,
                                         address(3, i + 1), m_store->at(), regions_by_zone, m_settings.program,
-                                        m_folder}));
+                                        m_folder, m_settings.memory_mb}));
     }
     const auto until = clock::now() + start_timeout;
     for (const auto& i : m_instances) {
--- a/review/rig-3/site.h
+++ b/review/rig-3/site.h
@@ -13,6 +13,9 @@
     int instances = 2;
     int plain_servers = 2;
     int keyed_servers = 2;
+    int memory_mb = 260;
+    milliseconds work{20};
+    int slots = 8;
 };
 
 /// An answer to a caller's request.
