review: case 12, a crowd makes an instance cut uploads in flight

When the memory for callers is full, the largest busy connections are closed, also those whose unsafe request is running at a server.

--- a/review/rig-3/cases.h
+++ b/review/rig-3/cases.h
@@ -15,6 +15,7 @@
 std::optional<int> play_manifest_after_restore(record& out, bool trouble, const std::string& program);
 std::optional<int> play_short_fields(record& out, bool trouble, const std::string& program);
 std::optional<int> play_bodies_left_behind(record& out, bool trouble, const std::string& program);
+std::optional<int> play_evicted_uploads(record& out, bool trouble, const std::string& program);
 
 struct named_case {
     const char* name;
@@ -26,6 +27,7 @@
     {"manifest-after-restore", play_manifest_after_restore},
     {"short-fields", play_short_fields},
     {"bodies-left-behind", play_bodies_left_behind},
+    {"evicted-uploads", play_evicted_uploads},
 };
 
 } // namespace balsampost::review::rig_3
--- a/review/rig-3/http.cpp
+++ b/review/rig-3/http.cpp
@@ -135,13 +135,18 @@
     return out + "content-length: " + std::to_string(r.body.size()) + "\r\n\r\n" + r.body;
 }
 
-int connect_to(const endpoint& to, milliseconds timeout) {
+int connect_to(const endpoint& to, milliseconds timeout, const std::string& from) {
     const int s = ::socket(AF_INET, SOCK_STREAM, 0);
     const timeval limit{timeout.count() / 1000, (timeout.count() % 1000) * 1000};
     const int on = 1;
     ::setsockopt(s, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
     ::setsockopt(s, SOL_SOCKET, SO_SNDTIMEO, &limit, sizeof limit);
     ::setsockopt(s, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+    const auto own = to_system({from, 0});
+    if (!from.empty() && ::bind(s, reinterpret_cast<const sockaddr*>(&own), sizeof own) != 0) {
+        ::close(s);
+        return -1;
+    }
     const auto address = to_system(to);
     if (::connect(s, reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0) {
         ::close(s);
@@ -150,8 +155,9 @@
     return s;
 }
 
-std::optional<http_response> call(const endpoint& to, const std::string& text, milliseconds timeout) {
-    const int s = connect_to(to, timeout);
+std::optional<http_response> call(const endpoint& to, const std::string& text, milliseconds timeout,
+                                  const std::string& from) {
+    const int s = connect_to(to, timeout, from);
     if (s < 0) {
         return std::nullopt;
     }
--- a/review/rig-3/http.h
+++ b/review/rig-3/http.h
@@ -48,10 +48,12 @@
 std::string to_text(const http_response& r);
 
 /// Connects, with `timeout` for each later read and write. Returns -1 if that fails.
-int connect_to(const endpoint& to, milliseconds timeout);
+/// An empty `from` leaves the own address to the system.
+int connect_to(const endpoint& to, milliseconds timeout, const std::string& from = "");
 
 /// Sends `text` on a new connection and reads one response. Empty if none came whole.
-std::optional<http_response> call(const endpoint& to, const std::string& text, milliseconds timeout);
+std::optional<http_response> call(const endpoint& to, const std::string& text, milliseconds timeout,
+                                  const std::string& from = "");
 
 class http_server {
 public:
