--- a/review/rig-3/site.cpp
+++ b/review/rig-3/site.cpp
@@ -32,10 +32,7 @@
 
 } // namespace
 
-site::site(record& out, const site_settings& settings)
-    : m_record(out), m_settings(settings),
-      m_network("127." + std::to_string(first_network + static_cast<int>(::getpid()) % networks)),
-      m_audit(out) {
+site::site(record& out, const site_settings& settings) : m_record(out), m_settings(settings), m_audit(out) {
     auto folder = (std::filesystem::temp_directory_path() / "review-3-XXXXXX").string();
     m_folder = ::mkdtemp(folder.data()) == nullptr ? "" : folder;
 }
@@ -105,9 +102,20 @@
     return revision;
 }
 
+bool site::take_network() {
+    const auto first = static_cast<int>(::getpid());
+    for (int i = 0; i < networks; ++i) {
+        m_network = "127." + std::to_string(first_network + (first + i) % networks);
+        m_store = std::make_unique<object_store>(m_record, endpoint{address(1, 1), store_port});
+        if (m_store->listening()) {
+            return true;
+        }
+    }
+    return false;
+}
+
 bool site::start() {
-    m_store = std::make_unique<object_store>(m_record, endpoint{address(1, 1), store_port});
-    if (m_folder.empty() || !m_store->listening()) {
+    if (m_folder.empty() || !take_network()) {
         return false;
     }
     write_manifest(1, false);
--- a/review/rig-3/site.h
+++ b/review/rig-3/site.h
@@ -55,6 +55,8 @@
 
 private:
     std::string address(int group, int number) const;
+    /// Takes a network in which the store's address is free. Returns false if there is none.
+    bool take_network();
 
     record& m_record;
     site_settings m_settings;
