--- a/review/rig-3/body_case.cpp
+++ b/review/rig-3/body_case.cpp
@@ -22,6 +22,7 @@
 constexpr milliseconds time_limit{3'000};
 constexpr milliseconds patience{5'000};
 constexpr milliseconds leaves_after{60}; // After the last byte was sent.
+constexpr milliseconds pause_unconnected{50};
 constexpr milliseconds look_interval{50};
 constexpr milliseconds restart_delay{500};
 constexpr int max_kills = 2; // Of each instance, on a day without a breach.
@@ -52,12 +53,14 @@
     std::atomic<int> left{0};
 };
 
-/// Sends one request. The caller leaves soon after the last byte, or waits for the answer.
-void send_body(const endpoint& to, const std::string& id, bool leaves, rate_limit& rate,
-               crowd_counts& counts) {
+/// Sends one request. The caller leaves soon after the last byte, or waits for the answer. Returns the status
+/// of the answer; 0 if it got none.
+int send_body(const endpoint& to, const std::string& id, bool leaves, rate_limit& rate,
+              crowd_counts& counts) {
     const int s = connect_to(to, patience);
     if (s < 0) {
-        return;
+        std::this_thread::sleep_for(pause_unconnected); // The process is being started again.
+        return 0;
     }
     bool open = write_all(s, "POST /order/x HTTP/1.1\r\nHost: h.example\r\nX-Balsampost-Request-Id: " + id +
                                  "\r\nX-Balsampost-Deadline-Ms: " + std::to_string(time_limit.count()) +
@@ -74,16 +77,18 @@
     }
     http_response answer;
     std::string rest;
-    if (!read_response(s, rest, answer)) {
+    const bool whole = read_response(s, rest, answer);
+    ::close(s);
+    if (!whole) {
         ++counts.left;
-    } else {
-        ++(answer.status == 200 ? counts.answered : counts.refused);
+        return 0;
     }
-    ::close(s);
+    ++(answer.status == 200 ? counts.answered : counts.refused);
+    return answer.status;
 }
 
 /// The crowd of one instance, and the platform's watch over its memory.
-void press(record& out, instance& entry, bool leaves, std::atomic<int>& kills) {
+void press(record& out, site& s, instance& entry, bool leaves, std::atomic<int>& kills) {
     rate_limit rate;
     crowd_counts counts;
     std::vector<std::thread> crowd;
@@ -91,7 +96,7 @@
         crowd.emplace_back([&, c] {
             for (int n = 0; out.elapsed() < crowd_ends; ++n) {
                 const auto id = entry.name() + "-" + std::to_string(c) + "-" + std::to_string(n);
-                send_body(entry.front(), id, leaves, rate, counts);
+                s.log_request(entry.name(), id, "", send_body(entry.front(), id, leaves, rate, counts));
             }
         });
     }
@@ -131,7 +136,7 @@
     std::vector<std::atomic<int>> kills(s.instances().size());
     std::vector<std::thread> threads;
     for (std::size_t i = 0; i < kills.size(); ++i) {
-        threads.emplace_back([&, i] { press(out, *s.instances()[i], trouble, kills[i]); });
+        threads.emplace_back([&, i] { press(out, s, *s.instances()[i], trouble, kills[i]); });
     }
     for (auto& t : threads) {
         t.join();
--- a/review/rig-3/eviction_case.cpp
+++ b/review/rig-3/eviction_case.cpp
@@ -52,6 +52,7 @@
             read_response(socket, rest, answer);
         if (whole) {
             ++answers;
+            s.log_request(to.name(), id, "", answer.status);
             answered += answer.status == 200 ? 1 : 0;
             const auto connection = answer.headers.find("connection");
             if (connection != answer.headers.end() && connection->second == "close") {
--- a/review/rig-3/restore_cases.cpp
+++ b/review/rig-3/restore_cases.cpp
@@ -66,6 +66,7 @@
             const auto id = "p-" + i->name() + "-" + std::to_string(n);
             const auto r = s.request(*i, "GET", "/added/x", "", id, milliseconds{1'500});
             ++statuses[i->name()][r.status];
+            s.log_request(i->name(), id, "", r.status);
             if (r.status == 404) {
                 out.breach("instance " + i->name() + " answers 404 on the added route to request " + id);
             }
--- a/review/rig-3/site.cpp
+++ b/review/rig-3/site.cpp
@@ -167,6 +167,15 @@
                   : call_result{};
 }
 
+void site::log_request(const std::string& to, const std::string& id, const std::string& key, int status) {
+    std::string servers;
+    for (const auto& run : m_runs.of(id)) {
+        servers += " " + run.server;
+    }
+    m_record.line("request " + id + " to " + to + (key.empty() ? "" : ", key " + key) + ": status " +
+                  std::to_string(status) + ", ran at" + (servers.empty() ? " no server" : servers));
+}
+
 void site::start_callers(milliseconds interval) {
     for (std::size_t i = 0; i < m_instances.size(); ++i) {
         m_callers.emplace_back([this, i, interval] {
@@ -178,6 +187,7 @@
                 const auto r = request(*m_instances[i], "GET", keyed ? "/keyed/x" : "/read/x", key, id,
                                        milliseconds{1'500});
                 ++(r.status == 200 ? m_served : m_unserved);
+                log_request(m_instances[i]->name(), id, key, r.status);
                 std::this_thread::sleep_for(interval);
             }
         });
--- a/review/rig-3/site.h
+++ b/review/rig-3/site.h
@@ -42,6 +42,8 @@
     /// Sends a request on a new connection. An empty key stands for none.
     call_result request(const instance& to, const std::string& method, const std::string& path,
                         const std::string& key, const std::string& id, milliseconds timeout);
+    /// Writes what became of a request to the record; status 0 stands for no answer.
+    void log_request(const std::string& to, const std::string& id, const std::string& key, int status);
     /// Sends keyed and plain requests to all instances, each `interval`, until `stop_callers`.
     void start_callers(milliseconds interval);
     void stop_callers();
