review: two cases mended after a reading against the issue

Case 11 had added 1 server to 2, a share of 0.5, where scale_out allows 0.3; it adds 1 to 4 and 1 to 5 now. Case 13 had counted a connection that ends early as a late answer.

--- a/review/rig-3/crowd_case.cpp
+++ b/review/rig-3/crowd_case.cpp
@@ -52,7 +52,7 @@
     const auto took = std::chrono::duration_cast<milliseconds>(clock::now() - began);
     counts.answered += r.status != 0 ? 1 : 0;
     counts.past_timeout += took > route_timeout ? 1 : 0;
-    const bool late = r.status == 0 || took > answer_bound;
+    const bool late = took > answer_bound; // A connection that ends sooner isn't late.
     counts.late += late ? 1 : 0;
     out.line("request " + id + ": status " + std::to_string(r.status) + " after " +
              std::to_string(took.count()) + " ms, ran at " + std::to_string(s.runs().of(id).size()) +
--- a/review/rig-3/restore_cases.cpp
+++ b/review/rig-3/restore_cases.cpp
@@ -19,7 +19,7 @@
     constexpr milliseconds copy_age{3'500};
     constexpr milliseconds second_added{14'000};
     constexpr milliseconds end{24'000};
-    site s(out, {program, 2, 1, 2});
+    site s(out, {program, 2, 1, 4});
     if (!s.start()) {
         return std::nullopt;
     }
